--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,15 @@
+/** Building blocks without platform I/O, shared by every package. */
+export type { Clock } from './Clock.js';
+export { SystemClock } from './SystemClock.js';
+export { Emitter } from './Emitter.js';
+export type { Event, Subscription } from './Emitter.js';
+export { Disposables } from './Disposables.js';
+export type { Owned } from './Disposables.js';
+export { Random } from './Random.js';
+export { StateChart } from './StateChart.js';
+export type { StateChartSource, StateSource } from './StateChart.js';
+export { LatencyHistogram } from './LatencyHistogram.js';
+export { createIdentifier, digestOf, rendezvousOwner, rendezvousWeight } from './Identifier.js';
+export { PeriodicTask } from './PeriodicTask.js';
+export { LayerError, messageOf } from './LayerError.js';
+export { Secret } from './Secret.js';
--- /dev/null
+++ b/packages/daemon/bin/apricothoistd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/daemon/src/HttpEndpointSender.ts
@@ -0,0 +1,187 @@
+import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
+import { Agent, request } from 'node:http';
+
+import type { Clock } from '@apricothoist/common';
+import type { AttemptResult, Endpoint, EndpointSender, Ticket } from '@apricothoist/router';
+import { AttemptOutcome } from '@apricothoist/router';
+
+/** A caller's request as it is passed on. */
+export interface RequestContent {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: OutgoingHttpHeaders;
+  readonly body: Uint8Array;
+}
+
+/** An endpoint's whole answer. */
+export interface AnswerContent {
+  readonly status: number;
+  readonly headers: OutgoingHttpHeaders;
+  readonly body: Uint8Array;
+}
+
+/** Headers between this product and endpoints or callers. */
+export const OutcomeHeader = {
+  /** `not-run` or `unknown` on answers that are not the service's own. */
+  outcome: 'apricothoist-outcome',
+  /** Why an endpoint refused: `busy` or `leaving`. */
+  reason: 'apricothoist-reason',
+  /** Identifies the attempt; an endpoint that returns it is protected against crossed answers. */
+  attempt: 'apricothoist-attempt',
+  retryAfterMs: 'apricothoist-retry-after-ms',
+} as const;
+
+const firstServerErrorStatus = 500;
+const connectTimeoutMs = 1_000;
+const connectionHeaders = ['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te'];
+
+const notRun = (reason?: string): AttemptResult<AnswerContent> => ({
+  outcome: AttemptOutcome.notRun,
+  isBusy: reason === 'busy',
+  isLeaving: reason === 'leaving',
+});
+const unknown: AttemptResult<AnswerContent> = { outcome: AttemptOutcome.unknown };
+
+/** Sends requests to endpoints over HTTP, each on a connection that carries no other meanwhile. */
+export class HttpEndpointSender
+  implements EndpointSender<RequestContent, AnswerContent>, Disposable
+{
+  private readonly agents = new Map<string, Agent>();
+
+  private attempts = 0;
+
+  /**
+   * @param instanceId names this instance in attempt identifiers
+   * @param maxConnections connections to one endpoint
+   * @param maxBodyBytes largest answer that is passed on
+   */
+  public constructor(
+    private readonly instanceId: string,
+    private readonly clock: Clock,
+    private readonly maxConnections: number,
+    private readonly maxBodyBytes: number,
+  ) {}
+
+  public send(
+    endpoint: Endpoint,
+    ticket: Ticket,
+    content: RequestContent,
+    deadline: number,
+  ): Promise<AttemptResult<AnswerContent>> {
+    this.attempts += 1;
+    const attemptId = `${this.instanceId}.${this.attempts}`;
+    return new Promise((resolve) => {
+      let isConnected = false;
+      let isDone = false;
+      const outgoing = request(`http://${endpoint.address}${content.path}`, {
+        method: content.method,
+        // A pooled connection may be closing, which would leave it open whether the request ran.
+        agent: ticket.isIdempotent ? this.agentFor(endpoint.address) : false,
+        headers: {
+          ...content.headers,
+          [OutcomeHeader.attempt]: attemptId,
+          'content-length': content.body.length,
+        },
+      });
+      const finish = (result: AttemptResult<AnswerContent>): void => {
+        if (isDone) {
+          return;
+        }
+        isDone = true;
+        clearTimeout(timer);
+        clearTimeout(connectTimer);
+        if (result.outcome === AttemptOutcome.unknown) {
+          // A late answer finds no connection.
+          outgoing.destroy();
+        }
+        resolve(result);
+      };
+      const fail = (): void => finish(isConnected ? unknown : notRun());
+      const timer = setTimeout(fail, Math.max(0, deadline - this.clock.monotonic()));
+      const connectTimer = setTimeout(() => {
+        if (!isConnected) {
+          outgoing.destroy();
+          finish(notRun());
+        }
+      }, connectTimeoutMs);
+      outgoing.on('socket', (socket) => {
+        if (!socket.connecting) {
+          isConnected = true;
+          return;
+        }
+        socket.once('connect', () => {
+          isConnected = true;
+        });
+      });
+      outgoing.on('error', fail);
+      outgoing.on('response', (answer) => {
+        const chunks: Buffer[] = [];
+        let size = 0;
+        answer.on('data', (chunk: Buffer) => {
+          chunks.push(chunk);
+          size += chunk.length;
+          if (size > this.maxBodyBytes) {
+            finish(unknown);
+          }
+        });
+        answer.on('aborted', fail);
+        answer.on('error', fail);
+        answer.on('end', () => {
+          const body = Buffer.concat(chunks);
+          finish(
+            answer.complete
+              ? judge(answer.statusCode ?? 0, answer.headers, body, attemptId)
+              : unknown,
+          );
+        });
+      });
+      outgoing.end(content.body);
+    });
+  }
+
+  public [Symbol.dispose](): void {
+    this.agents.forEach((agent) => agent.destroy());
+    this.agents.clear();
+  }
+
+  private agentFor(address: string): Agent {
+    const known = this.agents.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const agent = new Agent({ keepAlive: true, maxSockets: this.maxConnections });
+    this.agents.set(address, agent);
+    return agent;
+  }
+}
+
+/** Headers that concern the message and not one connection. */
+export function endToEndHeaders(headers: IncomingHttpHeaders): OutgoingHttpHeaders {
+  const kept = Object.entries(headers).filter(
+    ([name]) => !connectionHeaders.includes(name) && name !== 'content-length' && name !== 'host',
+  );
+  return Object.fromEntries(kept);
+}
+
+function judge(
+  status: number,
+  headers: IncomingHttpHeaders,
+  body: Uint8Array,
+  attemptId: string,
+): AttemptResult<AnswerContent> {
+  const echoed = headers[OutcomeHeader.attempt];
+  if (echoed !== undefined && echoed !== attemptId) {
+    return unknown;
+  }
+  if (headers[OutcomeHeader.outcome] === 'not-run') {
+    return notRun(String(headers[OutcomeHeader.reason]));
+  }
+  const kept = endToEndHeaders(headers);
+  delete kept[OutcomeHeader.attempt];
+  const answer = { status, headers: kept, body };
+  return {
+    outcome: AttemptOutcome.answered,
+    answer,
+    isFailure: status >= firstServerErrorStatus,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/InstanceEvents.ts
@@ -0,0 +1,105 @@
+import { messageOf } from '@apricothoist/common';
+import type { MeshNode } from '@apricothoist/mesh';
+import type { Plan } from '@apricothoist/scheduler';
+
+import type { CallerListener } from './CallerListener.js';
+import type { ConfigurationKeeper } from './ConfigurationKeeper.js';
+import type { EventLog } from './EventLog.js';
+import { EventKinds } from './events.js';
+import type { OperatorListener } from './OperatorListener.js';
+import { PlanErrorKind } from './PlanKeeper.js';
+import type { PlanError, PlanKeeper } from './PlanKeeper.js';
+import type { PlanRunner } from './PlanRunner.js';
+
+/** The parts of an instance whose events are logged. */
+export interface EventSources {
+  readonly configurations: ConfigurationKeeper;
+  readonly runner: PlanRunner;
+  readonly mesh: MeshNode;
+  readonly callers: CallerListener;
+  readonly operators: OperatorListener;
+  readonly plan: PlanKeeper;
+}
+
+/** Logs what happens in an instance. */
+export class InstanceEvents {
+  private storeState = 'up';
+
+  private isReady = false;
+
+  private endedJobs = new Set<string>();
+
+  public constructor(private readonly log: EventLog) {}
+
+  public follow(sources: EventSources): void {
+    const { configurations, runner, mesh, callers, operators, plan } = sources;
+    configurations.onAdopt(({ revision, digest }) => {
+      this.log.emit(EventKinds.configurationAdopted, { revision, digest });
+      this.noteReady();
+    });
+    configurations.onReject((message) => {
+      this.log.emit(EventKinds.configurationRejected, { message });
+    });
+    runner.onLeadership((isLeading) => {
+      this.log.emit(isLeading ? EventKinds.leadershipGained : EventKinds.leadershipLost);
+    });
+    runner.onShortfall((units) => {
+      const accounts = [...new Set(units.map((unit) => unit.account))].join(', ');
+      const kind = units.length > 0 ? EventKinds.guaranteeShortfall : EventKinds.guaranteesMet;
+      this.log.emit(kind, { units: units.length, accounts });
+    });
+    runner.onWriteFailed((error) => this.notePlanError(error));
+    mesh.onMembersChanged(() => {
+      this.log.emit(EventKinds.membersChanged, { alive: mesh.membership.alive().length });
+    });
+    mesh.onRejected((reason) => this.log.emit(EventKinds.meshRejected, { reason }));
+    callers.onRejected((from) => this.log.emit(EventKinds.callerRejected, { from }));
+    operators.onRejected((from) => this.log.emit(EventKinds.operatorRejected, { from }));
+    callers.onRequestEnd(({ service, account, outcome, reason }) => {
+      if (reason !== undefined) {
+        this.log.emit(EventKinds.requestRefused, { service, account, outcome, reason });
+      }
+    });
+    plan.onAdopt((adopted) => this.notePlan(adopted));
+  }
+
+  /** Logs a change of the store's state. */
+  public noteStoreState(state: string): void {
+    if (state !== this.storeState) {
+      this.storeState = state;
+      this.log.emit(EventKinds.storeStateChanged, { state });
+    }
+  }
+
+  public unexpected(error: unknown): void {
+    const stack = error instanceof Error ? error.stack : undefined;
+    this.log.emit(EventKinds.internalError, { message: messageOf(error), stack });
+  }
+
+  private noteReady(): void {
+    if (!this.isReady) {
+      this.isReady = true;
+      this.log.emit(EventKinds.ready);
+    }
+  }
+
+  private notePlanError(error: PlanError): void {
+    const isUnknown = error.kind === PlanErrorKind.unknown;
+    const kind = isUnknown ? EventKinds.planUnknown : EventKinds.planConflict;
+    this.log.emit(kind, { message: error.message });
+  }
+
+  private notePlan(plan: Plan): void {
+    this.log.emit(EventKinds.planAdopted, {
+      revision: plan.revision,
+      attempts: plan.attempts.length,
+    });
+    const ended = plan.jobs.filter((job) => job.finishedAt !== undefined);
+    ended
+      .filter((job) => !this.endedJobs.has(job.id))
+      .forEach(({ id, name, state, reason }) => {
+        this.log.emit(EventKinds.jobEnded, { job: id, name, state, reason });
+      });
+    this.endedJobs = new Set(ended.map((job) => job.id));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/MeshForwarder.ts
@@ -0,0 +1,145 @@
+import type { Clock, Random } from '@apricothoist/common';
+import { Urgency } from '@apricothoist/config';
+import type { Member, MeshNode } from '@apricothoist/mesh';
+import { MeshErrorKind } from '@apricothoist/mesh';
+import type { PeerForwarder, RouteResult, Ticket } from '@apricothoist/router';
+import { AttemptOutcome, RefusalReason } from '@apricothoist/router';
+import { z } from 'zod';
+
+import type { AnswerContent, RequestContent } from './HttpEndpointSender.js';
+import type { ServiceRouters } from './ServiceRouters.js';
+
+export const forwardTopic = 'forward';
+
+const headersSchema = z.record(
+  z.string(),
+  z.union([z.string(), z.number(), z.array(z.string()), z.undefined()]),
+);
+const bytesSchema = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
+
+/** A request passed on to another data centre. The remaining time travels, not the clock. */
+const forwardSchema = z.strictObject({
+  id: z.string(),
+  account: z.string(),
+  service: z.string(),
+  urgency: z.enum(Urgency),
+  isIdempotent: z.boolean(),
+  key: z.string().optional(),
+  remainingMs: z.number(),
+  method: z.string(),
+  path: z.string(),
+  headers: headersSchema,
+  body: bytesSchema,
+});
+type ForwardedRequest = z.output<typeof forwardSchema>;
+
+const resultSchema = z.discriminatedUnion('outcome', [
+  z.object({
+    outcome: z.literal(AttemptOutcome.answered),
+    answer: z.object({ status: z.number().int(), headers: headersSchema, body: bytesSchema }),
+  }),
+  z.object({
+    outcome: z.enum([AttemptOutcome.notRun, AttemptOutcome.unknown]),
+    reason: z.enum(RefusalReason),
+    retryAfterMs: z.number(),
+  }),
+]);
+
+type Result = RouteResult<AnswerContent>;
+
+const unanswered: Result = {
+  outcome: AttemptOutcome.unknown,
+  reason: RefusalReason.failed,
+  retryAfterMs: 1_000,
+};
+const notSent: Result = {
+  outcome: AttemptOutcome.notRun,
+  reason: RefusalReason.noEndpoint,
+  retryAfterMs: 1_000,
+};
+
+/** Passes requests on to instances of other data centres, over the mesh. */
+export class MeshForwarder implements PeerForwarder<RequestContent, AnswerContent> {
+  public constructor(
+    private readonly mesh: MeshNode,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly dataCentre: string,
+  ) {}
+
+  public forward(ticket: Ticket, content: RequestContent): Promise<Result> | undefined {
+    const peers = this.mesh.membership
+      .alive()
+      .filter((member) => member.dataCentre !== this.dataCentre)
+      .filter((member) => spareSlots(member, ticket.service) > 0);
+    if (peers.length === 0) {
+      return undefined;
+    }
+    return this.send(this.choose(peers, ticket.service), ticket, content);
+  }
+
+  /** Answers requests that peers pass on. */
+  public serve(routers: ServiceRouters): void {
+    this.mesh.handle(forwardTopic, async (body) => {
+      const forwarded = forwardSchema.parse(body);
+      const service = routers.get(forwarded.service);
+      if (service === undefined) {
+        return { ...notSent, reason: RefusalReason.unknownService };
+      }
+      return service.router.route(this.toTicket(forwarded), forwarded);
+    });
+  }
+
+  // Of two random peers the one with more spare slots.
+  private choose(peers: readonly Member[], service: string): Member {
+    const left = this.random.pick(peers);
+    const right = this.random.pick(peers);
+    return spareSlots(left, service) >= spareSlots(right, service) ? left : right;
+  }
+
+  private async send(peer: Member, ticket: Ticket, content: RequestContent): Promise<Result> {
+    const { id, account, service, urgency, isIdempotent, key, deadline } = ticket;
+    const { method, path, headers, body } = content;
+    const remainingMs = deadline - this.clock.monotonic();
+    const forwarded: ForwardedRequest = {
+      id,
+      account,
+      service,
+      urgency,
+      isIdempotent,
+      ...(key === undefined ? {} : { key }),
+      remainingMs,
+      method,
+      path,
+      headers: { ...headers },
+      body,
+    };
+    const answer = await this.mesh.request(peer.instanceId, forwardTopic, forwarded, deadline);
+    if (answer.isErr()) {
+      return answer.error.kind === MeshErrorKind.notSent ? notSent : unanswered;
+    }
+    const checked = resultSchema.safeParse(answer.value);
+    return checked.success ? checked.data : unanswered;
+  }
+
+  private toTicket(forwarded: ForwardedRequest): Ticket {
+    const now = this.clock.monotonic();
+    const { id, account, service, urgency, isIdempotent, key, remainingMs } = forwarded;
+    return {
+      id,
+      account,
+      service,
+      urgency,
+      isIdempotent,
+      key,
+      arrivedAt: now,
+      deadline: now + remainingMs,
+      isForwarded: true,
+    };
+  }
+}
+
+function spareSlots(member: Member, service: string): number {
+  const load = member.digest?.services.find((item) => item.service === service);
+  return load?.spareSlots ?? 0;
+}
--- /dev/null
+++ b/packages/daemon/src/OperatorApi.ts
@@ -0,0 +1,264 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { Clock } from '@apricothoist/common';
+import { messageOf } from '@apricothoist/common';
+import { Urgency } from '@apricothoist/config';
+import type { Job } from '@apricothoist/scheduler';
+import { findImpossibility, JobState, PlanChangeKind, shapeSchema } from '@apricothoist/scheduler';
+import { z } from 'zod';
+
+import type { ConfigurationKeeper } from './ConfigurationKeeper.js';
+import type {
+  ConfigurationRecord,
+  ConfigurationStore,
+  PublishError,
+} from './ConfigurationStore.js';
+import { PublishErrorKind } from './ConfigurationStore.js';
+import type { EventLog } from './EventLog.js';
+import { EventKinds } from './events.js';
+import type { PlanError, PlanKeeper } from './PlanKeeper.js';
+import type { StatusReport } from './StatusReport.js';
+
+/** What the API works with. */
+export interface OperatorServices {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly configurations: ConfigurationKeeper;
+  readonly configurationStore: ConfigurationStore;
+  /** The plan of a data centre, or undefined when the data centre is not configured. */
+  readonly planOf: (dataCentre: string) => PlanKeeper | undefined;
+  readonly status: () => StatusReport;
+}
+
+/** An answer of the API. */
+export interface ApiAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+type Handler = (input: unknown, query: URLSearchParams) => Promise<ApiAnswer>;
+
+const text = z.string().min(1).max(2_000);
+const applySchema = z.strictObject({
+  changeId: text,
+  expectedRevision: z.number().int().min(0),
+  text: z.string(),
+  author: text,
+  reason: text,
+});
+const submitSchema = z.strictObject({
+  jobId: text,
+  name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/),
+  account: text,
+  dataCentre: text,
+  shape: shapeSchema,
+  urgency: z.enum(Urgency),
+  declaredMs: z.number().positive(),
+  finishBy: z.number().optional(),
+});
+const cancelSchema = z.strictObject({ dataCentre: text, jobIds: z.array(text).min(1).max(10_000) });
+
+const retryAfterMs = 2_000;
+const defaultTrailLength = 50;
+
+const statusOfPublishError: Record<PublishErrorKind, number> = {
+  conflict: 409,
+  invalid: 422,
+  unavailable: 503,
+  unknown: 504,
+};
+
+/** Answers the operators' command line: a JSON body in, a JSON body out. */
+export class OperatorApi {
+  private readonly routes: Readonly<Record<string, Handler>> = {
+    'GET /v1/configuration': () => this.readConfiguration(),
+    'POST /v1/configuration': (input) => this.applyConfiguration(input),
+    'GET /v1/audit': (_, query) => this.readAudit(query),
+    'GET /v1/status': () => Promise.resolve({ status: 200, body: this.services.status() }),
+    'GET /v1/jobs': (_, query) => this.readJobs(query),
+    'POST /v1/jobs': (input) => this.submitJob(input),
+    'POST /v1/cancel': (input) => this.cancelJobs(input),
+  };
+
+  public constructor(private readonly services: OperatorServices) {}
+
+  /** Serves one request; false when no route matches. */
+  public async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+  ): Promise<boolean> {
+    const url = new URL(request.url ?? '/', 'http://instance');
+    const handler = this.routes[`${request.method} ${url.pathname}`];
+    if (handler === undefined) {
+      return false;
+    }
+    const answer = await runHandler(handler, body, url.searchParams);
+    const isBusy = answer.status === 503;
+    response.writeHead(answer.status, {
+      'content-type': 'application/json',
+      ...(isBusy ? { 'retry-after': String(retryAfterMs / 1_000) } : {}),
+    });
+    response.end(`${JSON.stringify(answer.body)}\n`);
+    return true;
+  }
+
+  private async readConfiguration(): Promise<ApiAnswer> {
+    await this.services.configurations.refresh();
+    const active = this.services.configurations.current;
+    return { status: 200, body: { revision: active?.revision ?? 0, text: active?.text ?? '' } };
+  }
+
+  private async applyConfiguration(input: unknown): Promise<ApiAnswer> {
+    const proposal = { ...applySchema.parse(input), at: this.services.clock.wall() };
+    const published = await this.services.configurationStore.publish(proposal);
+    return published.match(
+      (record) => {
+        this.services.configurations.offer(record);
+        const { revision, author, changes } = record;
+        this.services.log.emit(EventKinds.configurationPublished, { revision, author });
+        return { status: 200, body: { revision, changes } };
+      },
+      (error) => this.describePublishError(error),
+    );
+  }
+
+  private describePublishError(error: PublishError): ApiAnswer {
+    if (error.kind === PublishErrorKind.conflict) {
+      this.services.log.emit(EventKinds.configurationConflict, { message: error.message });
+    }
+    const winners = error.winners.map(withoutText);
+    const body = { kind: error.kind, message: error.message, winners, retryAfterMs };
+    return { status: statusOfPublishError[error.kind], body };
+  }
+
+  private async readAudit(query: URLSearchParams): Promise<ApiAnswer> {
+    const most = Number(query.get('most') ?? defaultTrailLength);
+    const trail = await this.services.configurationStore.readTrail(0, most);
+    return trail.match(
+      (records) => ({ status: 200, body: { entries: records.map(withoutText) } }),
+      (error) => unavailable(error.message),
+    );
+  }
+
+  private async readJobs(query: URLSearchParams): Promise<ApiAnswer> {
+    const dataCentres = query.get('data-centre')?.split(',') ?? this.dataCentres();
+    const plans = dataCentres
+      .map((dataCentre) => this.services.planOf(dataCentre))
+      .filter((plan) => plan !== undefined);
+    await Promise.all(plans.map((plan) => plan.refresh()));
+    const body = {
+      plans: plans.map(({ current, confirmedAt }) => ({
+        dataCentre: current.dataCentre,
+        revision: current.revision,
+        confirmedAt,
+        jobs: current.jobs,
+        attempts: current.attempts,
+        workers: current.workers,
+      })),
+    };
+    return { status: 200, body };
+  }
+
+  private async submitJob(input: unknown): Promise<ApiAnswer> {
+    const wanted = submitSchema.parse(input);
+    const { dataCentre } = wanted;
+    const plan = this.services.planOf(dataCentre);
+    const active = this.services.configurations.current;
+    if (plan === undefined || active === undefined) {
+      return { status: 404, body: { message: `data centre "${dataCentre}" is not configured` } };
+    }
+    const job = this.createJob(wanted);
+    const impossibility = findImpossibility(job, active.configuration, dataCentre);
+    if (impossibility !== undefined) {
+      return { status: 422, body: { message: `the job can never run: ${impossibility}` } };
+    }
+    const written = await plan.change({ kind: PlanChangeKind.submit, job });
+    return written.match(
+      () => {
+        const { id, name, account } = job;
+        this.services.log.emit(EventKinds.jobSubmitted, { job: id, name, account, dataCentre });
+        return { status: 200, body: { jobId: id } };
+      },
+      (error) => describePlanError(error),
+    );
+  }
+
+  private createJob(wanted: z.output<typeof submitSchema>): Job {
+    const now = this.services.clock.wall();
+    const { jobId, name, account, shape, urgency, declaredMs, finishBy } = wanted;
+    return {
+      id: jobId,
+      name,
+      account,
+      shape,
+      urgency,
+      declaredMs,
+      submittedAt: now,
+      finishBy,
+      state: JobState.queued,
+      queuedAt: now,
+      attemptCount: 0,
+      checkpointMs: 0,
+      attainedMs: 0,
+      failedWorkers: [],
+      reason: 'submitted',
+    };
+  }
+
+  private async cancelJobs(input: unknown): Promise<ApiAnswer> {
+    const { dataCentre, jobIds } = cancelSchema.parse(input);
+    const plan = this.services.planOf(dataCentre);
+    if (plan === undefined) {
+      return { status: 404, body: { message: `data centre "${dataCentre}" is not configured` } };
+    }
+    const results = await Promise.all(
+      jobIds.map((jobId) => plan.change({ kind: PlanChangeKind.cancel, jobId })),
+    );
+    const failed = results.find((result) => result.isErr());
+    if (failed?.isErr() === true) {
+      return describePlanError(failed.error);
+    }
+    const jobs = new Map(plan.current.jobs.map((job) => [job.id, job.state]));
+    const states = jobIds.map((jobId) => ({ jobId, state: jobs.get(jobId) ?? 'unknown' }));
+    return { status: 200, body: { jobs: states } };
+  }
+
+  private dataCentres(): string[] {
+    const active = this.services.configurations.current;
+    return active?.configuration.deployment['data-centres'] ?? [];
+  }
+}
+
+async function runHandler(
+  handler: Handler,
+  body: Buffer,
+  query: URLSearchParams,
+): Promise<ApiAnswer> {
+  try {
+    const input: unknown = body.length === 0 ? {} : JSON.parse(body.toString('utf8'));
+    return await handler(input, query);
+  } catch (error) {
+    const message = error instanceof z.ZodError ? z.prettifyError(error) : messageOf(error);
+    return { status: 400, body: { message } };
+  }
+}
+
+/** A record as the audit trail shows it. */
+type AuditEntry = Omit<ConfigurationRecord, 'text'>;
+
+function withoutText(record: ConfigurationRecord): AuditEntry {
+  const entry: AuditEntry & { text?: string } = { ...record };
+  delete entry.text;
+  return entry;
+}
+
+function unavailable(message: string): ApiAnswer {
+  return { status: 503, body: { kind: 'unavailable', message, retryAfterMs } };
+}
+
+function describePlanError(error: PlanError): ApiAnswer {
+  const isUnknown = error.kind === 'unknown';
+  const body = { kind: error.kind, message: error.message, retryAfterMs };
+  return { status: isUnknown ? 504 : 503, body };
+}
--- /dev/null
+++ b/packages/daemon/src/ServiceRouters.ts
@@ -0,0 +1,154 @@
+import type { Clock, Event } from '@apricothoist/common';
+import { Disposables, Emitter, Random } from '@apricothoist/common';
+import type { Configuration, ServiceSection } from '@apricothoist/config';
+import type { ListedInstance } from '@apricothoist/platform';
+import { InstanceRole, ListedState } from '@apricothoist/platform';
+import type { PeerForwarder, RequestClaims } from '@apricothoist/router';
+import { EndpointTable, RequestRouter } from '@apricothoist/router';
+
+import type { AnswerContent, RequestContent } from './HttpEndpointSender.js';
+import { HttpEndpointSender } from './HttpEndpointSender.js';
+
+/** The router of one service and the endpoints that it uses. */
+export interface ServiceRouter {
+  readonly name: string;
+  readonly section: ServiceSection;
+  readonly endpoints: EndpointTable;
+  readonly router: RequestRouter<RequestContent, AnswerContent>;
+}
+
+/** What the routers of all services share. */
+export interface ServiceRouterContext {
+  readonly clock: Clock;
+  readonly instanceId: string;
+  readonly dataCentre: string;
+  readonly seed: number;
+  readonly claims: RequestClaims;
+  readonly peers: PeerForwarder<RequestContent, AnswerContent>;
+}
+
+/** The routers of the configured services; rebuilt for a service when its section changes. */
+export class ServiceRouters implements AsyncDisposable {
+  private readonly routers = new Map<string, ServiceRouter>();
+
+  private readonly owned = new Disposables();
+
+  private configuration: Configuration | undefined;
+
+  private listed: readonly ListedInstance[] = [];
+
+  private members: readonly string[];
+
+  private readonly leaving = new Emitter<string>();
+
+  /** Fires with the identifier of an endpoint that said that it is leaving. */
+  public readonly onEndpointLeaving: Event<string> = this.leaving.event;
+
+  public constructor(private readonly context: ServiceRouterContext) {
+    this.members = [context.instanceId];
+  }
+
+  public get all(): ServiceRouter[] {
+    return [...this.routers.values()];
+  }
+
+  public get(service: string): ServiceRouter | undefined {
+    return this.routers.get(service);
+  }
+
+  /** Requests open at this instance. */
+  public get open(): number {
+    return this.all.reduce((sum, service) => sum + service.router.open, 0);
+  }
+
+  public configure(configuration: Configuration): void {
+    this.configuration = configuration;
+    Object.entries(configuration.service).forEach(([name, section]) => {
+      const known = this.routers.get(name);
+      if (known === undefined || JSON.stringify(known.section) !== JSON.stringify(section)) {
+        this.routers.set(name, this.create(name, section));
+      }
+    });
+    this.routers.forEach((_, name) => {
+      if (configuration.service[name] === undefined) {
+        this.routers.delete(name);
+      }
+    });
+  }
+
+  public updateListed(listed: readonly ListedInstance[]): void {
+    this.listed = listed;
+    this.all.forEach((service) => this.updateEndpoints(service.name, service.endpoints));
+  }
+
+  /** Sets the entry instances of this data centre that share its endpoints. */
+  public setMembers(members: readonly string[]): void {
+    this.members = members;
+    this.all.forEach((service) => {
+      service.endpoints.setMembers(members);
+      service.router.refreshConcurrency();
+    });
+  }
+
+  /** Takes over what peers said about endpoints: requests in flight there. */
+  public setPeerLoads(inFlight: ReadonlyMap<string, number>): void {
+    this.all
+      .flatMap((service) => service.endpoints.all)
+      .forEach((endpoint) => {
+        endpoint.peerInFlight = inFlight.get(endpoint.id) ?? 0;
+      });
+  }
+
+  /** Notes that an endpoint is leaving. Returns whether that is news. */
+  public markLeaving(endpointId: string): boolean {
+    return this.all
+      .map((service) => service.endpoints.markLeaving(endpointId))
+      .some((isNews) => isNews);
+  }
+
+  public async [Symbol.asyncDispose](): Promise<void> {
+    await this.owned[Symbol.asyncDispose]();
+    this.leaving[Symbol.dispose]();
+  }
+
+  private create(name: string, section: ServiceSection): ServiceRouter {
+    const { clock, instanceId, claims, peers, seed } = this.context;
+    const random = new Random(seed);
+    const endpoints = new EndpointTable(instanceId, section['endpoint-slots'], random);
+    const connections = section['endpoint-connections'];
+    const maxBody = section['max-body-bytes'];
+    const sender = new HttpEndpointSender(instanceId, clock, connections, maxBody);
+    this.owned.register(sender);
+    const limits = { timeoutMs: section['timeout-ms'], retryPercent: section['retry-percent'] };
+    const router = new RequestRouter<RequestContent, AnswerContent>(
+      {
+        clock,
+        random,
+        endpoints,
+        sender,
+        peers,
+        claims,
+        weightOf: (account) => this.configuration?.account[account]?.weight ?? 1,
+        limitOf: (account) => this.configuration?.account[account]?.['request-limit'],
+      },
+      limits,
+    );
+    this.owned.register(router);
+    router.onEndpointLeaving((endpointId) => this.leaving.fire(endpointId));
+    this.updateEndpoints(name, endpoints);
+    endpoints.setMembers(this.members);
+    return { name, section, endpoints, router };
+  }
+
+  private updateEndpoints(service: string, endpoints: EndpointTable): void {
+    const notices = this.listed
+      .filter((row) => row.role === InstanceRole.endpoint && row.service === service)
+      .filter((row) => row.dataCentre === this.context.dataCentre)
+      .map((row) => ({
+        id: row.id,
+        address: row.address,
+        isLeaving: row.state === ListedState.leaving,
+      }));
+    endpoints.update(notices, this.context.clock.monotonic());
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,61 @@
+import process from 'node:process';
+
+import { messageOf, SystemClock } from '@apricothoist/common';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+
+import { EventLog } from './EventLog.js';
+import { EventKinds } from './events.js';
+import { Instance } from './Instance.js';
+import type { Settings } from './Settings.js';
+import { readCredentials, readSettings } from './Settings.js';
+
+/** Exit codes of the daemon. */
+const ExitCode = { stopped: 0, failed: 1, badSettings: 2 } as const;
+
+async function runInstance(settings: Settings, settingsFile: string): Promise<void> {
+  const { name } = settings.instance;
+  const log = new EventLog(name, settings.log.level, settings.log.format);
+  const credentials = readCredentials(settings, settingsFile);
+  if (credentials.isErr()) {
+    process.stderr.write(`${credentials.error.message}\n`);
+    process.exit(ExitCode.badSettings);
+  }
+  const instance = new Instance(settings, credentials.value, new SystemClock(), log);
+  const stop = (): void => {
+    instance.stop().then(
+      () => process.exit(ExitCode.stopped),
+      (error: unknown) => {
+        log.emit(EventKinds.internalError, { message: messageOf(error) });
+        process.exit(ExitCode.failed);
+      },
+    );
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+  try {
+    await instance.start();
+  } catch (error) {
+    log.emit(EventKinds.startFailed, { message: messageOf(error) });
+    process.exit(ExitCode.failed);
+  }
+}
+
+const options = await yargs(hideBin(process.argv))
+  .scriptName('apricothoistd')
+  .usage('$0 --settings FILE\n\nRuns one entry instance. SIGTERM stops it gracefully.')
+  .option('settings', { type: 'string', demandOption: true, describe: 'settings file (INI)' })
+  .option('check', { type: 'boolean', default: false, describe: 'check the settings and exit' })
+  .example('$0 --settings /etc/apricothoist/instance.ini', 'run an instance')
+  .strict()
+  .parseAsync();
+
+const settings = readSettings(options.settings);
+if (settings.isErr()) {
+  process.stderr.write(`${settings.error.message}\n`);
+  process.exit(ExitCode.badSettings);
+} else if (options.check) {
+  process.stdout.write(`${options.settings}: ok\n`);
+} else {
+  await runInstance(settings.value, options.settings);
+}
--- /dev/null
+++ b/packages/mesh/src/PeerLink.ts
@@ -0,0 +1,188 @@
+import type { Clock, Secret } from '@apricothoist/common';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { WebSocket } from 'ws';
+
+import { MeshError, MeshErrorKind } from './MeshError.js';
+import type { Message } from './Message.js';
+import { decodeMessage, encodeMessage, MessageKind } from './Message.js';
+
+/** Largest frame in bytes; a larger one closes the link. */
+export const maxFrameBytes = 2_000_000;
+/** Close code for frames that are not messages. */
+export const malformedCloseCode = 4_400;
+
+const connectTimeoutMs = 1_500;
+const pingIntervalMs = 1_500;
+/** Silence in milliseconds after which a link is replaced by a new connection. */
+const silentAfterMs = 4_000;
+const firstRedialMs = 200;
+const maxRedialMs = 5_000;
+/** Bytes waiting to be sent beyond which digests are dropped: the peer does not read. */
+const maxBufferedBytes = 1_000_000;
+
+interface PendingRequest {
+  readonly settle: (result: Result<unknown, MeshError>) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** Where a link leads and how it proves itself. */
+export interface LinkTarget {
+  /** `host:port` of the peer's mesh listener. */
+  readonly address: string;
+  readonly token: Secret;
+}
+
+/**
+ * An outgoing connection to one peer, for digests and requests. It redials by itself, and takes a
+ * new connection when the old one has gone silent.
+ */
+export class PeerLink implements Disposable {
+  private socket: WebSocket | undefined;
+
+  private heardAt = 0;
+
+  private redialMs = firstRedialMs;
+
+  private redialTimer: NodeJS.Timeout | undefined;
+
+  private readonly pingTimer: NodeJS.Timeout;
+
+  private readonly pending = new Map<number, PendingRequest>();
+
+  private nextRequestId = 1;
+
+  private isDisposed = false;
+
+  public bytesSent = 0;
+
+  public bytesReceived = 0;
+
+  public constructor(
+    private readonly target: LinkTarget,
+    private readonly clock: Clock,
+    private readonly onOpen: () => void,
+  ) {
+    this.pingTimer = setInterval(() => this.probe(), pingIntervalMs);
+    this.dial();
+  }
+
+  public get isOpen(): boolean {
+    return this.socket?.readyState === WebSocket.OPEN;
+  }
+
+  /** Sends without expecting an answer. Returns whether it was handed to the connection. */
+  public post(message: Message): boolean {
+    const { socket } = this;
+    if (socket?.readyState !== WebSocket.OPEN || socket.bufferedAmount > maxBufferedBytes) {
+      return false;
+    }
+    const frame = encodeMessage(message);
+    this.bytesSent += frame.length;
+    socket.send(frame);
+    return true;
+  }
+
+  /** @param deadline monotonic milliseconds */
+  public request(
+    topic: string,
+    body: unknown,
+    deadline: number,
+  ): Promise<Result<unknown, MeshError>> {
+    const requestId = this.nextRequestId;
+    this.nextRequestId += 1;
+    return new Promise((resolve) => {
+      const timeoutMs = Math.max(0, deadline - this.clock.monotonic());
+      const timer = setTimeout(() => this.settle(requestId, unanswered()), timeoutMs);
+      this.pending.set(requestId, { settle: resolve, timer });
+      if (!this.post({ kind: MessageKind.request, requestId, topic, body })) {
+        const message = `no open link to ${this.target.address}`;
+        this.settle(requestId, err(new MeshError(MeshErrorKind.notSent, message)));
+      }
+    });
+  }
+
+  public [Symbol.dispose](): void {
+    this.isDisposed = true;
+    clearTimeout(this.redialTimer);
+    clearInterval(this.pingTimer);
+    this.failPending();
+    this.socket?.terminate();
+  }
+
+  private dial(): void {
+    const socket = new WebSocket(`ws://${this.target.address}/mesh`, {
+      headers: { authorization: `Bearer ${this.target.token.reveal()}` },
+      handshakeTimeout: connectTimeoutMs,
+      maxPayload: maxFrameBytes,
+      perMessageDeflate: false,
+    });
+    this.socket = socket;
+    this.heardAt = this.clock.monotonic();
+    socket.on('open', () => {
+      this.redialMs = firstRedialMs;
+      this.heardAt = this.clock.monotonic();
+      this.onOpen();
+    });
+    socket.on('pong', () => {
+      this.heardAt = this.clock.monotonic();
+    });
+    socket.on('message', (data) => this.receive(socket, data as Buffer));
+    socket.on('error', () => {});
+    socket.on('close', () => this.handleClose(socket));
+  }
+
+  private receive(socket: WebSocket, data: Buffer): void {
+    this.heardAt = this.clock.monotonic();
+    this.bytesReceived += data.length;
+    const message = decodeMessage(data);
+    if (message.isErr()) {
+      socket.close(malformedCloseCode, message.error.kind);
+      return;
+    }
+    if (message.value.kind === MessageKind.response) {
+      this.settle(message.value.requestId, ok(message.value.body));
+    }
+  }
+
+  private handleClose(socket: WebSocket): void {
+    if (socket !== this.socket) {
+      return;
+    }
+    this.failPending();
+    if (!this.isDisposed) {
+      this.redialTimer = setTimeout(() => this.dial(), this.redialMs);
+      this.redialMs = Math.min(maxRedialMs, this.redialMs * 2);
+    }
+  }
+
+  private probe(): void {
+    const { socket } = this;
+    if (socket?.readyState !== WebSocket.OPEN) {
+      return;
+    }
+    if (this.clock.monotonic() - this.heardAt > silentAfterMs) {
+      socket.terminate();
+      return;
+    }
+    socket.ping();
+  }
+
+  private failPending(): void {
+    [...this.pending.keys()].forEach((requestId) => this.settle(requestId, unanswered()));
+  }
+
+  private settle(requestId: number, result: Result<unknown, MeshError>): void {
+    const pending = this.pending.get(requestId);
+    if (pending === undefined) {
+      return;
+    }
+    this.pending.delete(requestId);
+    clearTimeout(pending.timer);
+    pending.settle(result);
+  }
+}
+
+function unanswered(): Result<unknown, MeshError> {
+  return err(new MeshError(MeshErrorKind.unanswered, 'the peer did not answer'));
+}
--- /dev/null
+++ b/packages/mesh/src/index.ts
@@ -0,0 +1,17 @@
+/** Messages between the entry instances: membership, digests and requests. */
+export { MeshError, MeshErrorKind } from './MeshError.js';
+export { decodeMessage, encodeMessage, MessageKind } from './Message.js';
+export type { Digest, Message, PeerAddress } from './Message.js';
+export {
+  instanceChart,
+  MemberEvent,
+  Membership,
+  MemberState,
+  suspectAfterMs,
+} from './Membership.js';
+export type { Member } from './Membership.js';
+export { maxFrameBytes, PeerLink } from './PeerLink.js';
+export { MeshServer } from './MeshServer.js';
+export type { RequestHandler } from './MeshServer.js';
+export { MeshNode } from './MeshNode.js';
+export type { DigestContent, MeshIdentity, MeshTraffic } from './MeshNode.js';
--- /dev/null
+++ b/packages/platform/src/BudgetedStore.ts
@@ -0,0 +1,211 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import type { Clock, Random } from '@apricothoist/common';
+import { createIdentifier } from '@apricothoist/common';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+import { CallBudget } from './CallBudget.js';
+import type { Store, StoreTransport, StoredValue, Versioned } from './Store.js';
+import { StoreError, StoreErrorKind } from './StoreError.js';
+import type { StoreState } from './StoreHealth.js';
+import { CallOutcome, StoreHealth } from './StoreHealth.js';
+
+/** Limits of one instance's use of the store. */
+export interface StoreLimits {
+  readonly callsPerSecond: number;
+  /** Milliseconds after which a call is given up. */
+  readonly callTimeoutMs: number;
+}
+
+/** A value with the identifier of the write that made it, so that a lost answer can be resolved. */
+interface Envelope<T> {
+  readonly writeId: string;
+  readonly data: T;
+}
+
+type Outcome<T> = Result<T, StoreError>;
+
+const maxReadBacks = 4;
+const firstReadBackDelayMs = 20;
+
+const outcomeOfError: Record<StoreErrorKind, CallOutcome | undefined> = {
+  conflict: CallOutcome.answered,
+  unknown: CallOutcome.late,
+  timeout: CallOutcome.late,
+  unavailable: CallOutcome.failed,
+  malformed: CallOutcome.failed,
+  overBudget: undefined,
+};
+
+/** Store client of one instance: a call budget, fast failure in an outage, lost answers resolved. */
+export class BudgetedStore implements Store {
+  private readonly budget: CallBudget;
+
+  private readonly health: StoreHealth;
+
+  private readonly reads = new Map<string, Promise<Outcome<StoredValue | undefined>>>();
+
+  public calls = 0;
+
+  public constructor(
+    private readonly transport: StoreTransport,
+    private readonly clock: Clock,
+    random: Random,
+    private readonly limits: StoreLimits,
+  ) {
+    this.budget = new CallBudget(limits.callsPerSecond, clock.monotonic());
+    this.health = new StoreHealth(random);
+  }
+
+  public get state(): StoreState {
+    return this.health.state;
+  }
+
+  /** Monotonic time in milliseconds at which a refused call may be tried again. */
+  public get retryAt(): number {
+    const now = this.clock.monotonic();
+    return Math.max(this.health.admitAt(now), this.budget.availableAt(now));
+  }
+
+  public async read<T>(key: string): Promise<Outcome<Versioned<T> | undefined>> {
+    const stored = await this.readOnce(key);
+    return stored.andThen((value) => (value === undefined ? ok(undefined) : decode<T>(value)));
+  }
+
+  public async list<T>(
+    prefix: string,
+  ): Promise<Outcome<readonly (Versioned<T> & { key: string })[]>> {
+    const listed = await this.call((deadline) => this.transport.list(prefix, deadline));
+    return listed.andThen((values) => {
+      const decoded: (Versioned<T> & { key: string })[] = [];
+      for (const value of values) {
+        const item = decode<T>(value);
+        if (item.isErr()) {
+          return err(item.error);
+        }
+        decoded.push({ key: value.key, ...item.value });
+      }
+      return ok(decoded);
+    });
+  }
+
+  public async compareAndSwap<T>(
+    key: string,
+    expected: number,
+    data: T,
+    expiresAt?: number,
+  ): Promise<Outcome<number>> {
+    const envelope: Envelope<T> = { writeId: createIdentifier(), data };
+    const write = { key, expected, value: JSON.stringify(envelope), expiresAt };
+    const first = await this.call((deadline) => this.transport.write(write, deadline));
+    if (first.isOk() || first.error.kind !== StoreErrorKind.unknown) {
+      return first;
+    }
+    return this.resolveWrite(write, envelope.writeId, first.error);
+  }
+
+  /** Takes one call from the budget for a watch, which the caller makes on its own connection. */
+  public admitWatch(): boolean {
+    const now = this.clock.monotonic();
+    return this.health.admit(now) && this.budget.take(now);
+  }
+
+  /** Notes what a watch met. */
+  public recordWatch(result: Result<unknown, StoreError>): void {
+    this.record(result);
+  }
+
+  // A write whose answer was lost may still arrive at the store. Sending the same write with the
+  // same identifier again is harmless: at most one of the two meets the expected version.
+  private async resolveWrite(
+    write: { key: string; expected: number; value: string; expiresAt?: number },
+    writeId: string,
+    cause: StoreError,
+  ): Promise<Outcome<number>> {
+    let pauseMs = firstReadBackDelayMs;
+    for (let turn = 0; turn < maxReadBacks; turn += 1) {
+      const found = await this.call((deadline) => this.transport.read(write.key, deadline));
+      if (found.isOk()) {
+        const version = found.value?.version ?? 0;
+        if (found.value !== undefined && writeIdOf(found.value) === writeId) {
+          return ok(version);
+        }
+        if (version !== write.expected) {
+          return unknownOutcome(write.key, cause);
+        }
+        const again = await this.call((deadline) => this.transport.write(write, deadline));
+        if (again.isOk()) {
+          return again;
+        }
+      }
+      await delay(pauseMs);
+      pauseMs *= 2;
+    }
+    return unknownOutcome(write.key, cause);
+  }
+
+  // Concurrent reads of one key share a call.
+  private readOnce(key: string): Promise<Outcome<StoredValue | undefined>> {
+    const running = this.reads.get(key);
+    if (running !== undefined) {
+      return running;
+    }
+    const started = this.call((deadline) => this.transport.read(key, deadline));
+    this.reads.set(key, started);
+    const forget = (): void => {
+      this.reads.delete(key);
+    };
+    started.then(forget, forget);
+    return started;
+  }
+
+  private async call<T>(send: (deadline: number) => Promise<Outcome<T>>): Promise<Outcome<T>> {
+    const now = this.clock.monotonic();
+    if (!this.health.admit(now)) {
+      return err(new StoreError(StoreErrorKind.unavailable, 'the store is down'));
+    }
+    if (!this.budget.take(now)) {
+      return err(new StoreError(StoreErrorKind.overBudget, 'no store calls left in this second'));
+    }
+    this.calls += 1;
+    const result = await send(now + this.limits.callTimeoutMs);
+    this.record(result);
+    return result;
+  }
+
+  private record(result: Result<unknown, StoreError>): void {
+    const outcome = result.isOk() ? CallOutcome.answered : outcomeOfError[result.error.kind];
+    if (outcome !== undefined) {
+      this.health.record(outcome, this.clock.monotonic());
+    }
+  }
+}
+
+function unknownOutcome(key: string, cause: StoreError): Outcome<number> {
+  const message = `the write of "${key}" may have taken effect`;
+  return err(new StoreError(StoreErrorKind.unknown, message, { cause }));
+}
+
+function writeIdOf(stored: StoredValue): string | undefined {
+  const decoded = parseEnvelope(stored.value);
+  return decoded?.writeId;
+}
+
+function decode<T>(stored: StoredValue): Outcome<Versioned<T>> {
+  const envelope = parseEnvelope(stored.value);
+  return envelope === undefined
+    ? err(new StoreError(StoreErrorKind.malformed, `the value of "${stored.key}" is not readable`))
+    : ok({ version: stored.version, data: envelope.data as T });
+}
+
+function parseEnvelope(text: string): Envelope<unknown> | undefined {
+  try {
+    const parsed = JSON.parse(text) as Partial<Envelope<unknown>> | null;
+    return typeof parsed?.writeId === 'string'
+      ? { writeId: parsed.writeId, data: parsed.data }
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/HttpStoreTransport.ts
@@ -0,0 +1,135 @@
+import { Agent } from 'node:http';
+
+import type { Clock } from '@apricothoist/common';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { z } from 'zod';
+
+import type { HttpAnswer, HttpCall, HttpError } from './httpCall.js';
+import { httpCall, HttpErrorKind } from './httpCall.js';
+import type { StoreChanges, StoredValue, StoreTransport, StoreWrite } from './Store.js';
+import { StoreError, StoreErrorKind } from './StoreError.js';
+
+const valueSchema = z.object({ key: z.string(), value: z.string(), version: z.number().int() });
+const listSchema = z.object({ entries: z.array(valueSchema) });
+const writtenSchema = z.object({ version: z.number().int() });
+const changesSchema = z.object({ revision: z.number().int(), keys: z.array(z.string()) });
+
+const readErrors: Record<HttpErrorKind, StoreErrorKind> = {
+  notSent: StoreErrorKind.unavailable,
+  broken: StoreErrorKind.unavailable,
+  timeout: StoreErrorKind.timeout,
+  tooLarge: StoreErrorKind.malformed,
+};
+const writeErrors: Record<HttpErrorKind, StoreErrorKind> = {
+  notSent: StoreErrorKind.unavailable,
+  broken: StoreErrorKind.unknown,
+  timeout: StoreErrorKind.unknown,
+  tooLarge: StoreErrorKind.unknown,
+};
+
+const okStatus = 200;
+const notFoundStatus = 404;
+const conflictStatus = 409;
+const firstServerErrorStatus = 500;
+
+/** Speaks the key-value service's HTTP protocol. */
+export class HttpStoreTransport implements StoreTransport, Disposable {
+  private agent = new Agent({ keepAlive: true });
+
+  /** @param baseUrl for example `http://10.0.0.5:2380` */
+  public constructor(
+    private readonly baseUrl: string,
+    private readonly clock: Clock,
+  ) {}
+
+  public async read(
+    key: string,
+    deadline: number,
+  ): Promise<Result<StoredValue | undefined, StoreError>> {
+    const answer = await this.send({ method: 'GET', url: this.keyUrl(key), deadline }, readErrors);
+    return answer.andThen((found) =>
+      found.status === notFoundStatus ? ok(undefined) : decode(found, valueSchema),
+    );
+  }
+
+  public async list(
+    prefix: string,
+    deadline: number,
+  ): Promise<Result<readonly StoredValue[], StoreError>> {
+    const url = `${this.baseUrl}/v1/list?prefix=${encodeURIComponent(prefix)}`;
+    const answer = await this.send({ method: 'GET', url, deadline }, readErrors);
+    return answer.andThen((found) => decode(found, listSchema)).map((found) => found.entries);
+  }
+
+  public async write(write: StoreWrite, deadline: number): Promise<Result<number, StoreError>> {
+    const expiry = write.expiresAt === undefined ? '' : `&expiresAt=${write.expiresAt}`;
+    const url = `${this.keyUrl(write.key)}?expected=${write.expected}${expiry}`;
+    const call = { method: 'PUT', url, body: write.value, deadline } as const;
+    const answer = await this.send(call, writeErrors);
+    return answer.andThen((found) =>
+      found.status === conflictStatus
+        ? err(new StoreError(StoreErrorKind.conflict, `"${write.key}" was changed by another`))
+        : decode(found, writtenSchema).map((written) => written.version),
+    );
+  }
+
+  public async watch(
+    prefix: string,
+    revision: number,
+    deadline: number,
+  ): Promise<Result<StoreChanges, StoreError>> {
+    const query = `prefix=${encodeURIComponent(prefix)}&after=${revision}`;
+    const url = `${this.baseUrl}/v1/watch?${query}`;
+    // A connection of its own: a pooled one may have gone silent.
+    const call = { method: 'GET', url, deadline, agent: false } as const;
+    const answer = await this.send(call, readErrors);
+    return answer.andThen((found) => decode(found, changesSchema));
+  }
+
+  public [Symbol.dispose](): void {
+    this.agent.destroy();
+  }
+
+  private keyUrl(key: string): string {
+    return `${this.baseUrl}/v1/keys/${encodeURIComponent(key)}`;
+  }
+
+  private async send(
+    call: Omit<HttpCall, 'agent'> & { agent?: false },
+    kinds: Record<HttpErrorKind, StoreErrorKind>,
+  ): Promise<Result<HttpAnswer, StoreError>> {
+    const answer = await httpCall({ agent: this.agent, ...call }, this.clock);
+    if (answer.isErr() && answer.error.kind === HttpErrorKind.timeout) {
+      this.replaceConnections();
+    }
+    return answer
+      .mapErr((error) => toStoreError(error, kinds))
+      .andThen((found) =>
+        found.status >= firstServerErrorStatus
+          ? err(new StoreError(kinds.broken, `the store answered ${found.status}`))
+          : ok(found),
+      );
+  }
+
+  // After a timeout no pooled connection is trusted: any of them may have gone silent.
+  private replaceConnections(): void {
+    this.agent.destroy();
+    this.agent = new Agent({ keepAlive: true });
+  }
+}
+
+function toStoreError(error: HttpError, kinds: Record<HttpErrorKind, StoreErrorKind>): StoreError {
+  return new StoreError(kinds[error.kind], error.message, { cause: error });
+}
+
+function decode<T>(answer: HttpAnswer, schema: z.ZodType<T>): Result<T, StoreError> {
+  if (answer.status !== okStatus) {
+    return err(new StoreError(StoreErrorKind.malformed, `the store answered ${answer.status}`));
+  }
+  try {
+    return ok(schema.parse(JSON.parse(answer.body)));
+  } catch (cause) {
+    return err(new StoreError(StoreErrorKind.malformed, 'unreadable store answer', { cause }));
+  }
+}
--- /dev/null
+++ b/packages/platform/src/InstanceList.ts
@@ -0,0 +1,32 @@
+import type { Result } from 'neverthrow';
+
+import type { InstanceListError } from './InstanceListError.js';
+
+/** What an instance on the platform's list is for. */
+export const InstanceRole = { entry: 'entry', endpoint: 'endpoint', worker: 'worker' } as const;
+export type InstanceRole = (typeof InstanceRole)[keyof typeof InstanceRole];
+
+export const ListedState = { live: 'live', leaving: 'leaving' } as const;
+export type ListedState = (typeof ListedState)[keyof typeof ListedState];
+
+/** One row of the platform's instance list. The list lags behind reality. */
+export interface ListedInstance {
+  /** Never reused, unlike the address. */
+  readonly id: string;
+  readonly role: InstanceRole;
+  readonly dataCentre: string;
+  /** `host:port`; for entry instances that of the mesh listener. */
+  readonly address: string;
+  readonly state: ListedState;
+  /** Service of an endpoint. */
+  readonly service?: string;
+  /** Rack of a worker. */
+  readonly rack?: string;
+  /** Accelerators of a worker. */
+  readonly accelerators?: number;
+}
+
+/** The platform's list of live and leaving instances. */
+export interface InstanceList {
+  read(): Promise<Result<readonly ListedInstance[], InstanceListError>>;
+}
--- /dev/null
+++ b/packages/platform/src/httpCall.ts
@@ -0,0 +1,96 @@
+import type { Agent, IncomingHttpHeaders } from 'node:http';
+import { request } from 'node:http';
+
+import type { Clock } from '@apricothoist/common';
+import { LayerError, messageOf } from '@apricothoist/common';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+export const HttpErrorKind = {
+  /** No connection was made; the request was not sent. */
+  notSent: 'notSent',
+  /** The connection broke, or the answer was cut short, after the request was sent. */
+  broken: 'broken',
+  /** No whole answer before the deadline. */
+  timeout: 'timeout',
+  /** The answer is larger than the limit. */
+  tooLarge: 'tooLarge',
+} as const;
+export type HttpErrorKind = (typeof HttpErrorKind)[keyof typeof HttpErrorKind];
+
+/** A failed HTTP call. */
+export class HttpError extends LayerError<HttpErrorKind> {}
+
+export interface HttpCall {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly url: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Monotonic milliseconds. */
+  readonly deadline: number;
+  /** Connection pool, or false for a connection of its own. */
+  readonly agent: Agent | false;
+}
+
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+}
+
+const maxAnswerBytes = 4_000_000;
+
+/** Makes one HTTP call and returns the whole answer. After a timeout the connection is destroyed. */
+export function httpCall(call: HttpCall, clock: Clock): Promise<Result<HttpAnswer, HttpError>> {
+  return new Promise((resolve) => {
+    let isSent = false;
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const outgoing = request(call.url, {
+      method: call.method,
+      agent: call.agent,
+      headers: { ...call.headers, 'content-length': Buffer.byteLength(call.body ?? '') },
+    });
+    const timer = setTimeout(
+      () => finish(err(new HttpError(HttpErrorKind.timeout, `no answer from ${call.url}`))),
+      Math.max(0, call.deadline - clock.monotonic()),
+    );
+    function finish(result: Result<HttpAnswer, HttpError>): void {
+      clearTimeout(timer);
+      if (result.isErr()) {
+        outgoing.destroy();
+      }
+      resolve(result);
+    }
+    function fail(error: unknown): void {
+      const kind = isSent ? HttpErrorKind.broken : HttpErrorKind.notSent;
+      finish(err(new HttpError(kind, `${call.url}: ${messageOf(error)}`, { cause: error })));
+    }
+    outgoing.on('socket', (socket) => {
+      if (!socket.connecting) {
+        isSent = true;
+        return;
+      }
+      socket.once('connect', () => {
+        isSent = true;
+      });
+    });
+    outgoing.on('error', fail);
+    outgoing.on('response', (answer) => {
+      answer.on('data', (chunk: Buffer) => {
+        size += chunk.length;
+        chunks.push(chunk);
+        if (size > maxAnswerBytes) {
+          finish(err(new HttpError(HttpErrorKind.tooLarge, `answer of ${call.url} is too large`)));
+        }
+      });
+      answer.on('aborted', () => fail(new Error('the answer was cut short')));
+      answer.on('error', fail);
+      answer.on('end', () => {
+        const body = Buffer.concat(chunks).toString('utf8');
+        finish(ok({ status: answer.statusCode ?? 0, headers: answer.headers, body }));
+      });
+    });
+    outgoing.end(call.body);
+  });
+}
--- /dev/null
+++ b/packages/router/src/EndpointTable.ts
@@ -0,0 +1,175 @@
+import type { Random } from '@apricothoist/common';
+import { rendezvousOwner } from '@apricothoist/common';
+
+import { Endpoint, EndpointState } from './Endpoint.js';
+
+/** What the platform or a peer says about an endpoint. */
+export interface EndpointNotice {
+  readonly id: string;
+  readonly address: string;
+  readonly isLeaving: boolean;
+}
+
+/** Share of the endpoints that may be ejected at a time. */
+const maxEjectedShare = 0.5;
+/** Removed endpoints that are remembered, so that a lagging list does not bring them back. */
+const maxRemembered = 1_000;
+
+/**
+ * The endpoints of one service in one data centre, as one instance uses them. Every slot of every
+ * endpoint has an owner among the instances, found by rendezvous hash without any message. An
+ * instance uses its own slots first and then borrows: of two random endpoints with room it takes
+ * the less loaded one, by its own count and what peers reported. The endpoint's refusal is final.
+ */
+export class EndpointTable {
+  private readonly endpoints = new Map<string, Endpoint>();
+
+  private readonly departed = new Set<string>();
+
+  /** Slots of each endpoint that this instance owns. */
+  private ownedSlots = new Map<string, number>();
+
+  private members: readonly string[] = [];
+
+  public constructor(
+    private readonly instanceId: string,
+    private readonly slotsPerEndpoint: number,
+    private readonly random: Random,
+  ) {}
+
+  public get all(): Endpoint[] {
+    return [...this.endpoints.values()];
+  }
+
+  public get(id: string): Endpoint | undefined {
+    return this.endpoints.get(id);
+  }
+
+  /**
+   * Takes over the platform's list. An endpoint once seen leaving never comes back; one that is
+   * only missing may, because the list can be read out of order.
+   */
+  public update(notices: readonly EndpointNotice[], now: number): void {
+    const listed = new Set(notices.map((notice) => notice.id));
+    this.all.forEach((endpoint) => {
+      endpoint.isListed = listed.has(endpoint.id);
+      this.forgetIfIdle(endpoint);
+    });
+    notices.forEach((notice) => this.take(notice, now));
+    this.assignSlots();
+  }
+
+  /** Notes that an endpoint is leaving, whoever said so first. Returns whether that is news. */
+  public markLeaving(id: string): boolean {
+    const endpoint = this.endpoints.get(id);
+    const isNews = !this.departed.has(id);
+    this.remember(id);
+    endpoint?.leave();
+    return isNews && endpoint !== undefined;
+  }
+
+  /** Endpoints that are known to be leaving and may still be on the list. */
+  public get leavingIds(): string[] {
+    return [...this.departed].filter((id) => this.endpoints.has(id));
+  }
+
+  /** Sets the instances that share the endpoints, this one included. */
+  public setMembers(members: readonly string[]): void {
+    this.members = [...members].sort();
+    this.assignSlots();
+  }
+
+  /** The best endpoint for one more request, or undefined when none has room. */
+  public choose(excluded: ReadonlySet<string>, now: number): Endpoint | undefined {
+    const open = this.all.filter((endpoint) => !excluded.has(endpoint.id) && endpoint.hasRoom(now));
+    const own = open.filter(
+      (endpoint) => endpoint.inFlight < (this.ownedSlots.get(endpoint.id) ?? 0),
+    );
+    if (own.length > 0) {
+      return this.lessLoaded(own, now);
+    }
+    const borrowable = open.filter((endpoint) => endpoint.load(now) < 1);
+    return borrowable.length > 0 ? this.lessLoaded(borrowable, now) : undefined;
+  }
+
+  /** Requests that this instance can have in flight now, those in flight included. */
+  public usableSlots(now: number): number {
+    return this.all.reduce((sum, endpoint) => {
+      const allowed = endpoint.allowedSlots(now);
+      const ownShare = Math.min(allowed, this.ownedSlots.get(endpoint.id) ?? 0);
+      const unused = Math.max(0, allowed - endpoint.peerInFlight);
+      const usable = endpoint.hasRoom(now) ? Math.max(ownShare, unused) : 0;
+      return sum + Math.max(endpoint.inFlight, usable);
+    }, 0);
+  }
+
+  /** Whether any endpoint takes requests, busy or not. */
+  public isAnyOpen(now: number): boolean {
+    return this.all.some((endpoint) => endpoint.isListed && endpoint.allowedSlots(now) > 0);
+  }
+
+  /** Notes how a request ended at an endpoint, and ejects it when it fails too often. */
+  public record(endpoint: Endpoint, isSuccess: boolean, now: number): void {
+    if (endpoint.record(isSuccess) && this.mayEject()) {
+      endpoint.eject(now);
+    }
+  }
+
+  /** Notes that a request to the endpoint has ended, however it ended. */
+  public finish(endpoint: Endpoint): void {
+    endpoint.inFlight -= 1;
+    this.forgetIfIdle(endpoint);
+  }
+
+  private take(notice: EndpointNotice, now: number): void {
+    if (notice.isLeaving || this.departed.has(notice.id)) {
+      this.markLeaving(notice.id);
+      return;
+    }
+    if (!this.endpoints.has(notice.id)) {
+      const endpoint = new Endpoint(notice.id, notice.address, this.slotsPerEndpoint, now);
+      this.endpoints.set(notice.id, endpoint);
+    }
+  }
+
+  private mayEject(): boolean {
+    const ejected = this.all.filter((item) => item.state === EndpointState.ejected).length;
+    return ejected + 1 <= this.endpoints.size * maxEjectedShare;
+  }
+
+  private lessLoaded(endpoints: readonly Endpoint[], now: number): Endpoint {
+    const left = this.random.pick(endpoints);
+    const right = this.random.pick(endpoints);
+    return left.load(now) <= right.load(now) ? left : right;
+  }
+
+  private forgetIfIdle(endpoint: Endpoint): void {
+    if (!endpoint.isListed && endpoint.inFlight === 0) {
+      this.endpoints.delete(endpoint.id);
+    }
+  }
+
+  private remember(id: string): void {
+    this.departed.add(id);
+    const [oldest] = this.departed;
+    if (this.departed.size > maxRemembered && oldest !== undefined) {
+      this.departed.delete(oldest);
+    }
+  }
+
+  private assignSlots(): void {
+    this.ownedSlots = new Map(
+      this.all.map((endpoint) => [endpoint.id, this.countOwned(endpoint.id)]),
+    );
+  }
+
+  private countOwned(endpointId: string): number {
+    let owned = 0;
+    for (let slot = 0; slot < this.slotsPerEndpoint; slot += 1) {
+      if (rendezvousOwner(`${endpointId}/${slot}`, this.members) === this.instanceId) {
+        owned += 1;
+      }
+    }
+    return owned;
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,43 @@
+/** Scheduling decisions for the workers of one data centre, free of I/O. */
+export { Scheduler } from './Scheduler.js';
+export type { SchedulerDecision, SchedulerInput } from './Scheduler.js';
+export { acceleratorsOf, createPlan, fitsInside, planSchema, shapeSchema } from './Plan.js';
+export type {
+  Attempt,
+  EstimateRecord,
+  Job,
+  PlacedTask,
+  Plan,
+  Shape,
+  WorkerRecord,
+} from './Plan.js';
+export {
+  attemptChart,
+  AttemptEvent,
+  AttemptState,
+  jobChart,
+  JobEvent,
+  JobState,
+} from './charts.js';
+export { Capacity } from './Capacity.js';
+export type { WorkerShare, WorkerView } from './Capacity.js';
+export { candidatePlaces, fillTightest, GuaranteeWitness } from './GuaranteeWitness.js';
+export type { GuaranteeUnit, Witness } from './GuaranteeWitness.js';
+export { GuaranteeLedger, guaranteesOf } from './GuaranteeLedger.js';
+export type { GuaranteeEntry } from './GuaranteeLedger.js';
+export { PlacementSearch } from './PlacementSearch.js';
+export { lostWorkOf, occupy, ReclaimSearch, release } from './ReclaimSearch.js';
+export { applyChanges, findImpossibility, PlanChangeKind } from './PlanChange.js';
+export type { PlanChange } from './PlanChange.js';
+export { assignmentsOf, isRenewable } from './assignments.js';
+export type { AssignedPhase, PlannedTask } from './assignments.js';
+export type {
+  ObservationLimits,
+  Observations,
+  ObservedState,
+  TaskObservation,
+  WorkerObservation,
+} from './observe.js';
+export { describeShape } from './PlacementRound.js';
+export { fragmentationOf } from './fragmentation.js';
+export { isQuarantined } from './WorkerHistory.js';
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,13 @@
+/** Stand-ins for the platform and fakes for tests. */
+export { MemoryStore } from './MemoryStore.js';
+export type { StoreFaults } from './MemoryStore.js';
+export { LoopbackServer, sendJson } from './LoopbackServer.js';
+export { StoreServer } from './StoreServer.js';
+export { InstanceListServer } from './InstanceListServer.js';
+export { WorkerModel } from './WorkerModel.js';
+export type { RunRecord, WorkerBehaviour } from './WorkerModel.js';
+export { WorkerServer } from './WorkerServer.js';
+export { EndpointServer } from './EndpointServer.js';
+export type { EndpointBehaviour } from './EndpointServer.js';
+export { ManualClock } from './ManualClock.js';
+export type { StandInOptions, StandInReady } from './standIn.js';
--- /dev/null
+++ b/packages/testing/src/standIn.ts
@@ -0,0 +1,48 @@
+import process from 'node:process';
+
+import { EndpointServer } from './EndpointServer.js';
+import { InstanceListServer } from './InstanceListServer.js';
+import { StoreServer } from './StoreServer.js';
+import { WorkerServer } from './WorkerServer.js';
+
+/** What a stand-in process prints once it listens: the ports of what it stands in for. */
+export interface StandInReady {
+  readonly ports: readonly number[];
+}
+
+/** Arguments of a stand-in process, as JSON in its first argument. */
+export interface StandInOptions {
+  readonly kind: 'store' | 'list' | 'workers' | 'endpoints';
+  readonly ids?: readonly string[];
+  readonly accelerators?: number;
+  readonly slots?: number;
+  readonly serviceMs?: number;
+  readonly runMs?: number;
+}
+
+const defaultCheckpointMs = 200;
+
+interface Listening {
+  listen(port?: number): Promise<number>;
+}
+
+function createServers(options: StandInOptions): Listening[] {
+  const { ids = [], accelerators = 8, slots = 8, serviceMs = 20, runMs = 2_000 } = options;
+  const behaviour = {
+    runMs: () => runMs,
+    checkpointMs: defaultCheckpointMs,
+    isFailingAll: false,
+  };
+  const creators: Record<StandInOptions['kind'], () => Listening[]> = {
+    store: () => [new StoreServer()],
+    list: () => [new InstanceListServer()],
+    workers: () => ids.map((id) => new WorkerServer(id, accelerators, behaviour)),
+    endpoints: () => ids.map((id) => new EndpointServer(id, slots, serviceMs)),
+  };
+  return creators[options.kind]();
+}
+
+const servers = createServers(JSON.parse(process.argv[2] ?? '{}') as StandInOptions);
+const ports = await Promise.all(servers.map((server) => server.listen()));
+const ready: StandInReady = { ports };
+process.stdout.write(`${JSON.stringify(ready)}\n`);
--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,27 @@
+// Runs `npm test` and compares its failures with KNOWN-RED.txt: listed ones are printed and
+// passed over, any other one fails the run.
+import { spawnSync } from 'node:child_process';
+import { readFileSync } from 'node:fs';
+import process from 'node:process';
+
+/** Titles listed in KNOWN-RED.txt, one `test: TITLE` line an entry. */
+function readKnownRed() {
+  const lines = readFileSync(new URL('../KNOWN-RED.txt', import.meta.url), 'utf8').split('\n');
+  return lines.filter((line) => line.startsWith('test: ')).map((line) => line.slice(6).trim());
+}
+
+const known = readKnownRed();
+const run = spawnSync('npx', ['ava', '--tap'], { encoding: 'utf8', maxBuffer: 2 ** 28 });
+process.stdout.write(run.stdout);
+process.stderr.write(run.stderr);
+const lines = run.stdout.split('\n').map((line) => line.trim());
+const passed = lines.filter((line) => /^ok \d+ - /.test(line)).length;
+const failures = lines
+  .map((line) => /^not ok \d+ - (.*)$/.exec(line)?.[1])
+  .filter((title) => title !== undefined);
+const unexpected = failures.filter((title) => !known.some((entry) => title.endsWith(entry)));
+known.forEach((title) => process.stdout.write(`known red: ${title}\n`));
+unexpected.forEach((title) => process.stdout.write(`failed: ${title}\n`));
+process.stdout.write(`${passed} passed, ${unexpected.length} failed\n`);
+const isBroken = run.status !== 0 && failures.length === 0;
+process.exitCode = unexpected.length > 0 || passed === 0 || isBroken ? 1 : 0;
