--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,26 @@
+import process from 'node:process';
+
+import { runSchedulerBench } from './scheduler/schedulerBench.js';
+
+type Bench = (print: (text: string) => void) => void | Promise<void>;
+
+/** The benches, by the name given on the command line. */
+const benches: Readonly<Record<string, Bench>> = {
+  scheduler: runSchedulerBench,
+};
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+const wanted = process.argv[2];
+const chosen = wanted === undefined ? Object.keys(benches) : [wanted];
+for (const name of chosen) {
+  const bench = benches[name];
+  if (bench === undefined) {
+    print(`unknown bench "${name}"; known: ${Object.keys(benches).join(', ')}`);
+    process.exitCode = 2;
+  } else {
+    await bench(print);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/scheduler/Workload.ts
@@ -0,0 +1,41 @@
+import type { Configuration } from '@apricothoist/config';
+import type { Shape, WorkerView } from '@apricothoist/scheduler';
+
+/** A job of a seeded list. Times in milliseconds from the start of the list. */
+export interface ListedJob {
+  readonly id: string;
+  readonly name: string;
+  readonly account: string;
+  readonly dataCentre: string;
+  readonly shape: Shape;
+  readonly urgency: 'urgent' | 'normal' | 'batch';
+  readonly submitAt: number;
+  /** True run time. */
+  readonly runMs: number;
+  /** Declared run time, off by up to ten times either way. */
+  readonly declaredMs: number;
+  readonly finishBy?: number;
+}
+
+/** A deployment with a job list. */
+export interface Workload {
+  readonly name: string;
+  readonly configuration: Configuration;
+  readonly workers: ReadonlyMap<string, readonly WorkerView[]>;
+  readonly jobs: readonly ListedJob[];
+}
+
+/** The workers that a configuration expects in each data centre. */
+export function createWorkers(configuration: Configuration): Map<string, WorkerView[]> {
+  return new Map(
+    Object.entries(configuration.workers).map(([dataCentre, pool]) => [
+      dataCentre,
+      Array.from({ length: pool.count }, (_, index) => ({
+        id: `${dataCentre}-${index}`,
+        rack: `${dataCentre}-rack-${Math.floor(index / pool['workers-per-rack'])}`,
+        accelerators: pool.accelerators,
+        isUsable: true,
+      })),
+    ]),
+  );
+}
--- a/packages/router/src/Endpoint.ts
+++ b/packages/router/src/Endpoint.ts
@@ -59,8 +59,9 @@
     public readonly address: string,
     public readonly slots: number,
     now: number,
+    isWarm = false,
   ) {
-    this.warmAt = now + warmUpMs;
+    this.warmAt = isWarm ? now : now + warmUpMs;
   }
 
   public get state(): EndpointState {
--- a/packages/router/src/EndpointTable.ts
+++ b/packages/router/src/EndpointTable.ts
@@ -31,6 +31,8 @@
 
   private members: readonly string[] = [];
 
+  private hasList = false;
+
   public constructor(
     private readonly instanceId: string,
     private readonly slotsPerEndpoint: number,
@@ -56,6 +58,7 @@
       this.forgetIfIdle(endpoint);
     });
     notices.forEach((notice) => this.take(notice, now));
+    this.hasList = this.hasList || notices.length > 0;
     this.assignSlots();
   }
 
@@ -127,7 +130,10 @@
       return;
     }
     if (!this.endpoints.has(notice.id)) {
-      const endpoint = new Endpoint(notice.id, notice.address, this.slotsPerEndpoint, now);
+      // Endpoints on the first list were there before this instance: they are warm.
+      const isWarm = !this.hasList;
+      const { id, address } = notice;
+      const endpoint = new Endpoint(id, address, this.slotsPerEndpoint, now, isWarm);
       this.endpoints.set(notice.id, endpoint);
     }
   }
--- a/packages/scheduler/src/PlacementRound.ts
+++ b/packages/scheduler/src/PlacementRound.ts
@@ -4,6 +4,7 @@
 import { Capacity } from './Capacity.js';
 import type { WorkerShare, WorkerView } from './Capacity.js';
 import { AttemptEvent, AttemptState, JobEvent, JobState } from './charts.js';
+import { Consolidation } from './Consolidation.js';
 import { GuaranteeLedger, guaranteesOf } from './GuaranteeLedger.js';
 import type { GuaranteeEntry } from './GuaranteeLedger.js';
 import type { GuaranteeUnit, GuaranteeWitness } from './GuaranteeWitness.js';
@@ -61,6 +62,9 @@
   /** Accelerators that nothing holds. */
   private readonly free: Capacity;
 
+  /** Accelerators that nothing holds, or only attempts that are being stopped. */
+  private readonly soonFree: Capacity;
+
   /** Accelerators that are free or held by borrowers: what guarantees can count on. */
   private readonly promised: Capacity;
 
@@ -79,6 +83,7 @@
     this.now = input.now;
     const { attempts } = this.draft;
     this.free = Capacity.of(input.workers.map((worker) => this.withoutQuarantined(worker)));
+    this.soonFree = this.free.clone();
     this.promised = this.free.clone();
     this.ledger = new GuaranteeLedger(
       guaranteesOf(input.configuration, input.dataCentre),
@@ -89,6 +94,9 @@
       .forEach((attempt) => {
         const remaining = withoutStopped(attempt);
         occupy(this.free, remaining);
+        if (!isStopping(attempt)) {
+          occupy(this.soonFree, remaining);
+        }
         if (attempt.guarantee !== undefined) {
           occupy(this.promised, remaining);
         }
@@ -102,6 +110,7 @@
     this.search = new PlacementSearch(this.shapesOfInterest(queue));
     queue.forEach((entry) => this.placeEntry(entry));
     this.promoteBorrowers();
+    this.consolidate();
     return this.input.witness.solve(this.promised, this.ledger.unusedUnits()).unplaced;
   }
 
@@ -186,7 +195,7 @@
 
   private reclaims(job: Job, avoided: ReadonlySet<number>): Choice[] {
     const victims = this.borrowers(() => true);
-    return new ReclaimSearch(victims).find(this.free, job.shape, avoided);
+    return new ReclaimSearch(victims).find(this.soonFree, job.shape, avoided);
   }
 
   private firstSafe(
@@ -216,7 +225,7 @@
     const outside = new Set(
       this.free.workers.map((_, index) => index).filter((worker) => !wanted.has(worker)),
     );
-    return new ReclaimSearch(this.borrowers(() => true)).find(this.free, job.shape, outside)[0];
+    return new ReclaimSearch(this.borrowers(() => true)).find(this.soonFree, job.shape, outside)[0];
   }
 
   private unitsWithout(guarantee: GuaranteeEntry): GuaranteeUnit[] {
@@ -262,7 +271,7 @@
           entry.remaining * minRemainingRatio,
     };
     const victims = this.borrowers(rules[entry.rank]);
-    return new ReclaimSearch(victims).find(this.free, entry.job.shape, avoided)[0];
+    return new ReclaimSearch(victims).find(this.soonFree, entry.job.shape, avoided)[0];
   }
 
   private hasHadQuantum(attempt: Attempt): boolean {
@@ -302,6 +311,7 @@
     const attemptCount = job.attemptCount + 1;
     this.draft.advanceJob(job.id, JobEvent.place, { attemptCount, reason });
     occupy(this.free, attempt);
+    occupy(this.soonFree, attempt);
     this.addHeld(job.account, acceleratorsHeld(attempt));
     if (guarantee !== undefined) {
       occupy(this.promised, attempt);
@@ -313,6 +323,7 @@
   private stop(victim: Attempt, job: Job): void {
     const reason = `stopped for job "${job.name}"`;
     this.draft.updateJob(victim.jobId, { reason });
+    release(this.soonFree, withoutStopped(victim));
     if (victim.state === AttemptState.placing) {
       leave(this.draft, victim, AttemptEvent.reclaimed, this.now);
       return;
@@ -347,6 +358,27 @@
     };
   }
 
+  // Moves one borrower when that makes room for useful shapes that scattered tasks break up.
+  private consolidate(): void {
+    const isMoving = this.draft.attempts.some(
+      (attempt) => attempt.state !== AttemptState.running && attempt.state !== AttemptState.over,
+    );
+    if (isMoving) {
+      return;
+    }
+    const weight = this.input.configuration.deployment['completion-weight'];
+    const movables = this.borrowers((attempt) => this.hasHadQuantum(attempt)).flatMap((attempt) => {
+      const job = this.draft.job(attempt.jobId);
+      return job === undefined ? [] : [{ attempt, job }];
+    });
+    const move = new Consolidation(this.search, weight).find(this.free, movables);
+    if (move !== undefined) {
+      this.draft.updateJob(move.attempt.jobId, { reason: 'moved to make room for larger gangs' });
+      const stopBy = this.now + checkpointWindowMs;
+      this.draft.advanceAttempt(move.attempt.id, AttemptEvent.reclaimed, { stopBy });
+    }
+  }
+
   // A borrower whose account has a unit to spare is safe from reclaim under that unit.
   private promoteBorrowers(): void {
     this.borrowers((attempt) => attempt.state === AttemptState.running).forEach((attempt) => {
@@ -391,6 +423,10 @@
   return { shares: placement.shares, victims: [] };
 }
 
+function isStopping(attempt: Attempt): boolean {
+  return attempt.state === AttemptState.checkpointing || attempt.state === AttemptState.releasing;
+}
+
 function withoutStopped(attempt: Attempt): Attempt {
   return { ...attempt, tasks: attempt.tasks.filter((task) => !task.isStopped) };
 }
--- a/packages/scheduler/src/PlacementSearch.ts
+++ b/packages/scheduler/src/PlacementSearch.ts
@@ -1,7 +1,6 @@
 import { Adjacency } from '@apricothoist/config';
 
 import type { Capacity, WorkerShare } from './Capacity.js';
-import { fillTightest } from './GuaranteeWitness.js';
 import type { Shape } from './Plan.js';
 import { acceleratorsOf } from './Plan.js';
 
@@ -40,7 +39,7 @@
       .filter((entry) => entry.room >= shape.workers)
       .sort((left, right) => left.room - right.room || left.rack - right.rack)
       .slice(0, maxCandidates)
-      .map((entry) => this.score(capacity, shape, fillTightest(capacity, entry.workers, shape)));
+      .map((entry) => this.score(capacity, shape, this.fill(capacity, entry.workers, shape)));
     placements.sort(comparePlacements);
     if (placements.length > 0 || shape.adjacency === Adjacency.rack) {
       return placements;
@@ -49,7 +48,47 @@
     const room = capacity.taskRoom(all, per);
     return room < shape.workers
       ? []
-      : [this.score(capacity, shape, fillTightest(capacity, all, shape))];
+      : [this.score(capacity, shape, this.fill(capacity, all, shape))];
+  }
+
+  // Fills the workers where a task breaks up the least of the useful shapes.
+  private fill(capacity: Capacity, workers: readonly number[], shape: Shape): WorkerShare[] {
+    const per = shape.acceleratorsPerWorker;
+    const costs = new Map<number, number>();
+    const costOf = (worker: number): number => {
+      const free = capacity.freeOf(worker);
+      const known = costs.get(free) ?? this.brokenUp(free, per);
+      costs.set(free, known);
+      return known;
+    };
+    const suitable = workers
+      .filter((worker) => capacity.freeOf(worker) >= per)
+      .sort(
+        (left, right) =>
+          costOf(left) - costOf(right) ||
+          capacity.freeOf(left) - capacity.freeOf(right) ||
+          left - right,
+      );
+    const shares: WorkerShare[] = [];
+    let missing = shape.workers;
+    for (const worker of suitable) {
+      if (missing === 0) {
+        break;
+      }
+      const tasks = Math.min(missing, Math.floor(capacity.freeOf(worker) / per));
+      shares.push({ worker, tasks });
+      missing -= tasks;
+    }
+    return shares;
+  }
+
+  /** Accelerators of useful tasks that one worker can no longer hold when `taken` are used. */
+  private brokenUp(free: number, taken: number): number {
+    return this.shapes.reduce((sum, { acceleratorsPerWorker }) => {
+      const before = Math.floor(free / acceleratorsPerWorker);
+      const after = Math.floor((free - taken) / acceleratorsPerWorker);
+      return sum + (before - after) * acceleratorsPerWorker;
+    }, 0);
   }
 
   private score(capacity: Capacity, shape: Shape, shares: readonly WorkerShare[]): Placement {
@@ -62,6 +101,11 @@
     return { shares, destroyed: before - after, leftover };
   }
 
+  /** Accelerators of useful gangs that fit into all racks, each shape counted by itself. */
+  public usefulRoomOf(capacity: Capacity): number {
+    return this.usefulRoom(capacity, [...capacity.racks.keys()]);
+  }
+
   private usefulRoom(capacity: Capacity, racks: readonly number[]): number {
     let room = 0;
     for (const shape of this.shapes) {
--- a/packages/testing/src/WorkerModel.ts
+++ b/packages/testing/src/WorkerModel.ts
@@ -61,6 +61,12 @@
     return this.report(accepted);
   }
 
+  /** The report that the worker would give now. */
+  public read(now: number): WorkerReport {
+    this.advance(now);
+    return this.report(true);
+  }
+
   /** Lets time pass: tasks finish, fail, checkpoint, and stop when their lease ends. */
   public advance(now: number): void {
     this.tasks.forEach((task) => {
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -11,3 +11,5 @@
 export type { EndpointBehaviour } from './EndpointServer.js';
 export { ManualClock } from './ManualClock.js';
 export type { StandInOptions, StandInReady } from './standIn.js';
+export { canPlaceTogether } from './gangOracle.js';
+export type { OracleGang } from './gangOracle.js';
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -3,6 +3,7 @@
 import { spawnSync } from 'node:child_process';
 import { readFileSync } from 'node:fs';
 import process from 'node:process';
+import { URL } from 'node:url';
 
 /** Titles listed in KNOWN-RED.txt, one `test: TITLE` line an entry. */
 function readKnownRed() {
