--- a/packages/bench/src/scheduler/schedulerBench.ts
+++ b/packages/bench/src/scheduler/schedulerBench.ts
@@ -1,3 +1,5 @@
+import { acceleratorsOf } from '@apricothoist/scheduler';
+
 import { formatTable } from '../formatTable.js';
 import { writeResult } from '../writeResult.js';
 import { BaselinePolicy, BaselineReplay } from './BaselineReplay.js';
@@ -159,7 +161,22 @@
     'ms/decision',
   ];
   const ratios = describeRatios(figures);
-  return `\n## ${name}: ${jobs} jobs\n\n${formatTable(header, rows)}\n\n${ratios}`;
+  const load = `offered load ${offeredLoad(workloads).toFixed(2)}`;
+  return `\n## ${name}: ${jobs} jobs, ${load}\n\n${formatTable(header, rows)}\n\n${ratios}`;
+}
+
+// Work of all jobs relative to what the accelerators of the data centres in use can do.
+function offeredLoad(workloads: readonly Workload[]): number {
+  const loads = workloads.map((workload) => {
+    const used = new Set(workload.jobs.map((job) => job.dataCentre));
+    const accelerators = [...workload.workers]
+      .filter(([dataCentre]) => used.has(dataCentre))
+      .flatMap(([, workers]) => workers.map((worker) => worker.accelerators));
+    const work = workload.jobs.map((job) => acceleratorsOf(job.shape) * job.runMs);
+    const lastSubmitAt = Math.max(...workload.jobs.map((job) => job.submitAt));
+    return sum(work) / (sum(accelerators) * lastSubmitAt);
+  });
+  return mean(loads);
 }
 
 function describeRatios(figures: readonly PolicyFigures[]): string {
--- a/packages/bench/src/scheduler/workloads.ts
+++ b/packages/bench/src/scheduler/workloads.ts
@@ -176,11 +176,11 @@
     });
   }
   const byRank: JobKind[] = [
-    { ...place, name: 'training', shape: shape(64, 1), urgency: 'batch', perDay: perDay / 8, meanRunMs: 3 * hourMs, burst: 1 },
-    { ...place, name: 'matching', shape: shape(16, 2), urgency: 'batch', perDay: perDay / 3, meanRunMs: 3 * hourMs, burst: 1 },
-    { ...place, name: 'gang', shape: shape(4, 2, true), urgency: 'normal', perDay: perDay * 0.7, meanRunMs: 3 * hourMs, burst: 1 },
+    { ...place, name: 'training', shape: shape(64, 1), urgency: 'batch', perDay: perDay / 8, meanRunMs: 6 * hourMs, burst: 1 },
+    { ...place, name: 'matching', shape: shape(16, 2), urgency: 'batch', perDay: perDay / 3, meanRunMs: 6 * hourMs, burst: 1 },
+    { ...place, name: 'gang', shape: shape(4, 2, true), urgency: 'normal', perDay: perDay * 0.7, meanRunMs: 6 * hourMs, burst: 1 },
     { ...place, name: 'triage', shape: shape(1, 1), urgency: 'urgent', perDay: perDay * 2, meanRunMs: 10 * minuteMs, burst: 2 },
-    { ...place, name: 'single', shape: shape(2, 1), urgency: 'normal', perDay: perDay * 0.9, meanRunMs: 3 * hourMs, burst: 2 },
+    { ...place, name: 'single', shape: shape(2, 1), urgency: 'normal', perDay: perDay * 0.9, meanRunMs: 6 * hourMs, burst: 2 },
   ];
   return [byRank[rank < 1 ? 0 : 1 + (rank % 4)] as JobKind];
 }
