Fault matrix over the product's own cores in virtual time

Cause: the promises have to be proved at every step under every fault; a second model of the system would only prove itself. What: EntryCore holds everything of an instance but its listeners, so that the same code runs behind fakes at its interfaces, in virtual time. Ruled out: loosening the checks.

--- a/packages/bench/src/EventQueue.ts
+++ b/packages/bench/src/EventQueue.ts
@@ -10,7 +10,7 @@
     this.heap.push(time);
     let index = this.heap.length - 1;
     while (index > 0) {
-      const parent = (index - 1) >> 1;
+      const parent = Math.floor((index - 1) / 2);
       if (this.at(parent) <= this.at(index)) {
         return;
       }
--- a/packages/bench/src/scheduler/BaselineReplay.ts
+++ b/packages/bench/src/scheduler/BaselineReplay.ts
@@ -49,7 +49,7 @@
     const events = new EventQueue();
     jobs.forEach((job) => events.push(job.submitAt));
     let next = 0;
-    for (let now = events.pop(); now !== undefined; ) {
+    for (let now = events.pop(); now !== undefined;) {
       for (let job = jobs[next]; job !== undefined && job.submitAt <= now; job = jobs[next]) {
         this.queue.push(job);
         next += 1;
@@ -61,7 +61,11 @@
       this.decisions += 1;
       const after = events.pop();
       if (after !== undefined) {
-        this.meter.add(this.free, this.queue.map((job) => job.shape), after - now);
+        this.meter.add(
+          this.free,
+          this.queue.map((job) => job.shape),
+          after - now,
+        );
       }
       now = after;
     }
@@ -106,7 +110,7 @@
   // A later job may start if, by the declared times, it ends before the head can start.
   private backfill(now: number, events: EventQueue): void {
     const headAt = this.expectedHeadStart(now);
-    for (let index = 1; index < this.queue.length; ) {
+    for (let index = 1; index < this.queue.length;) {
       const endsBefore = now + (this.queue[index]?.declaredMs ?? 0) <= headAt;
       if (!endsBefore || !this.tryStart(index, now, events)) {
         index += 1;
--- a/packages/bench/src/scheduler/SchedulerReplay.ts
+++ b/packages/bench/src/scheduler/SchedulerReplay.ts
@@ -70,7 +70,7 @@
     const behaviour = {
       runMs: (jobId: string) => this.jobsById.get(jobId)?.runMs ?? 0,
       checkpointMs,
-      isFailingAll: false,
+      isFailing: () => false,
     };
     this.models = new Map(
       workers.map((worker) => [
@@ -89,7 +89,7 @@
     });
     let next = 0;
     let isTicking = false;
-    for (let now = this.events.pop(); now !== undefined; ) {
+    for (let now = this.events.pop(); now !== undefined;) {
       const due: ListedJob[] = [];
       for (let job = jobs[next]; job !== undefined && job.submitAt <= now; job = jobs[next]) {
         due.push(job);
--- a/packages/bench/src/scheduler/decisionCost.ts
+++ b/packages/bench/src/scheduler/decisionCost.ts
@@ -1,6 +1,12 @@
 import { Adjacency, ConfigurationBuilder, parseConfiguration } from '@apricothoist/config';
 import type { Job, Plan, WorkerView } from '@apricothoist/scheduler';
-import { applyChanges, createPlan, JobState, PlanChangeKind, Scheduler } from '@apricothoist/scheduler';
+import {
+  applyChanges,
+  createPlan,
+  JobState,
+  PlanChangeKind,
+  Scheduler,
+} from '@apricothoist/scheduler';
 
 import type { Line } from '../fitLine.js';
 import { fitExponent, fitLine } from '../fitLine.js';
--- a/packages/bench/src/scheduler/refusalBench.ts
+++ b/packages/bench/src/scheduler/refusalBench.ts
@@ -61,7 +61,10 @@
       String(row.wrong),
     ]),
   );
-  return { rows, text: `\n## Guarantees refused although possible, ${stateCount} states\n\n${table}` };
+  return {
+    rows,
+    text: `\n## Guarantees refused although possible, ${stateCount} states\n\n${table}`,
+  };
 }
 
 function createState(random: Random) {
--- a/packages/bench/src/scheduler/witnessWays.ts
+++ b/packages/bench/src/scheduler/witnessWays.ts
@@ -20,7 +20,11 @@
 /** Greedy placement alone, largest first. */
 const greedyWay: WitnessWay = {
   name: 'greedy',
-  decide: (_, free, units) => placeInTurn(free.clone(), units.map((unit) => unit.shape)),
+  decide: (_, free, units) =>
+    placeInTurn(
+      free.clone(),
+      units.map((unit) => unit.shape),
+    ),
 };
 
 /**
@@ -29,7 +33,11 @@
  */
 const cellWay: WitnessWay = {
   name: 'hierarchical cells',
-  decide: (_, free, units) => placeInTurn(free.clone(), units.map((unit) => toCells(unit.shape))),
+  decide: (_, free, units) =>
+    placeInTurn(
+      free.clone(),
+      units.map((unit) => toCells(unit.shape)),
+    ),
 };
 
 /** Reservation: every unit has fixed places, chosen once from all accelerators. */
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -13,3 +13,4 @@
 export { PeriodicTask } from './PeriodicTask.js';
 export { LayerError, messageOf } from './LayerError.js';
 export { Secret } from './Secret.js';
+export { delay } from './delay.js';
--- a/packages/daemon/src/CallerListener.ts
+++ b/packages/daemon/src/CallerListener.ts
@@ -7,7 +7,7 @@
 import type { Refusal, RouteResult, Ticket } from '@apricothoist/router';
 import { AttemptOutcome, RefusalReason } from '@apricothoist/router';
 
-import type { AnswerContent } from './HttpEndpointSender.js';
+import type { AnswerContent } from './CoreServices.js';
 import { endToEndHeaders, OutcomeHeader } from './HttpEndpointSender.js';
 import { BodyFault, readBody } from './readBody.js';
 import type { ServiceRouter, ServiceRouters } from './ServiceRouters.js';
@@ -47,6 +47,7 @@
 const statusOfReason: Record<RefusalReason, number> = {
   unknownAccount: 401,
   unknownService: 404,
+  notReady: 503,
   accountLimit: 429,
   overloaded: 503,
   noEndpoint: 503,
@@ -101,6 +102,11 @@
     if (this.isLeaving) {
       response.setHeader('connection', 'close');
     }
+    if (!this.routers.isConfigured) {
+      request.resume();
+      writeRefusal(response, refusalOf(RefusalReason.notReady));
+      return;
+    }
     const [, name = '', path = '/'] = servicePath.exec(request.url ?? '') ?? [];
     const service = this.routers.get(name);
     const account = this.accountOf(request);
--- a/packages/daemon/src/HttpEndpointSender.ts
+++ b/packages/daemon/src/HttpEndpointSender.ts
@@ -1,24 +1,11 @@
-import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
+import type { IncomingHttpHeaders } from 'node:http';
 import { Agent, request } from 'node:http';
 
 import type { Clock } from '@apricothoist/common';
-import type { AttemptResult, Endpoint, EndpointSender, Ticket } from '@apricothoist/router';
+import type { AttemptResult, Endpoint, Ticket } from '@apricothoist/router';
 import { AttemptOutcome } from '@apricothoist/router';
 
-/** A caller's request as it is passed on. */
-export interface RequestContent {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: OutgoingHttpHeaders;
-  readonly body: Uint8Array;
-}
-
-/** An endpoint's whole answer. */
-export interface AnswerContent {
-  readonly status: number;
-  readonly headers: OutgoingHttpHeaders;
-  readonly body: Uint8Array;
-}
+import type { AnswerContent, HeaderValue, RequestContent, ServiceSender } from './CoreServices.js';
 
 /** Headers between this product and endpoints or callers. */
 export const OutcomeHeader = {
@@ -43,9 +30,7 @@
 const unknown: AttemptResult<AnswerContent> = { outcome: AttemptOutcome.unknown };
 
 /** Sends requests to endpoints over HTTP, each on a connection that carries no other meanwhile. */
-export class HttpEndpointSender
-  implements EndpointSender<RequestContent, AnswerContent>, Disposable
-{
+export class HttpEndpointSender implements ServiceSender {
   private readonly agents = new Map<string, Agent>();
 
   private attempts = 0;
@@ -156,7 +141,7 @@
 }
 
 /** Headers that concern the message and not one connection. */
-export function endToEndHeaders(headers: IncomingHttpHeaders): OutgoingHttpHeaders {
+export function endToEndHeaders(headers: IncomingHttpHeaders): Record<string, HeaderValue> {
   const kept = Object.entries(headers).filter(
     ([name]) => !connectionHeaders.includes(name) && name !== 'content-length' && name !== 'host',
   );
--- a/packages/daemon/src/InstanceEvents.ts
+++ b/packages/daemon/src/InstanceEvents.ts
@@ -1,30 +1,23 @@
 import { messageOf } from '@apricothoist/common';
-import type { MeshNode } from '@apricothoist/mesh';
 import type { Plan } from '@apricothoist/scheduler';
 
 import type { CallerListener } from './CallerListener.js';
-import type { ConfigurationKeeper } from './ConfigurationKeeper.js';
+import type { EntryCore } from './EntryCore.js';
 import type { EventLog } from './EventLog.js';
 import { EventKinds } from './events.js';
 import type { OperatorListener } from './OperatorListener.js';
 import { PlanErrorKind } from './PlanKeeper.js';
-import type { PlanError, PlanKeeper } from './PlanKeeper.js';
-import type { PlanRunner } from './PlanRunner.js';
+import type { PlanError } from './PlanKeeper.js';
 
 /** The parts of an instance whose events are logged. */
 export interface EventSources {
-  readonly configurations: ConfigurationKeeper;
-  readonly runner: PlanRunner;
-  readonly mesh: MeshNode;
+  readonly core: EntryCore;
   readonly callers: CallerListener;
   readonly operators: OperatorListener;
-  readonly plan: PlanKeeper;
 }
 
 /** Logs what happens in an instance. */
 export class InstanceEvents {
-  private storeState = 'up';
-
   private isReady = false;
 
   private endedJobs = new Set<string>();
@@ -32,7 +25,16 @@
   public constructor(private readonly log: EventLog) {}
 
   public follow(sources: EventSources): void {
-    const { configurations, runner, mesh, callers, operators, plan } = sources;
+    const { core, callers, operators } = sources;
+    const { configurations, runner, mesh, plan, store } = core;
+    store.onStateChange((state) => this.log.emit(EventKinds.storeStateChanged, { state }));
+    core.onError((error) => this.unexpected(error));
+    core.onListUnreadable(({ message }) => {
+      this.log.emit(EventKinds.instanceListUnreadable, { message });
+    });
+    core.onEndpointLeaving(({ endpointId, source }) => {
+      this.log.emit(EventKinds.endpointLeaving, { endpoint: endpointId, source });
+    });
     configurations.onAdopt(({ revision, digest }) => {
       this.log.emit(EventKinds.configurationAdopted, { revision, digest });
       this.noteReady();
@@ -63,15 +65,7 @@
     plan.onAdopt((adopted) => this.notePlan(adopted));
   }
 
-  /** Logs a change of the store's state. */
-  public noteStoreState(state: string): void {
-    if (state !== this.storeState) {
-      this.storeState = state;
-      this.log.emit(EventKinds.storeStateChanged, { state });
-    }
-  }
-
-  public unexpected(error: unknown): void {
+  private unexpected(error: unknown): void {
     const stack = error instanceof Error ? error.stack : undefined;
     this.log.emit(EventKinds.internalError, { message: messageOf(error), stack });
   }
--- a/packages/daemon/src/MeshForwarder.ts
+++ b/packages/daemon/src/MeshForwarder.ts
@@ -1,12 +1,12 @@
 import type { Clock, Random } from '@apricothoist/common';
 import { Urgency } from '@apricothoist/config';
-import type { Member, MeshNode } from '@apricothoist/mesh';
+import type { Member, Mesh } from '@apricothoist/mesh';
 import { MeshErrorKind } from '@apricothoist/mesh';
 import type { PeerForwarder, RouteResult, Ticket } from '@apricothoist/router';
 import { AttemptOutcome, RefusalReason } from '@apricothoist/router';
 import { z } from 'zod';
 
-import type { AnswerContent, RequestContent } from './HttpEndpointSender.js';
+import type { AnswerContent, RequestContent } from './CoreServices.js';
 import type { ServiceRouters } from './ServiceRouters.js';
 
 export const forwardTopic = 'forward';
@@ -61,7 +61,7 @@
 /** Passes requests on to instances of other data centres, over the mesh. */
 export class MeshForwarder implements PeerForwarder<RequestContent, AnswerContent> {
   public constructor(
-    private readonly mesh: MeshNode,
+    private readonly mesh: Mesh,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly dataCentre: string,
--- a/packages/daemon/src/ServiceRouters.ts
+++ b/packages/daemon/src/ServiceRouters.ts
@@ -6,8 +6,7 @@
 import type { PeerForwarder, RequestClaims } from '@apricothoist/router';
 import { EndpointTable, RequestRouter } from '@apricothoist/router';
 
-import type { AnswerContent, RequestContent } from './HttpEndpointSender.js';
-import { HttpEndpointSender } from './HttpEndpointSender.js';
+import type { AnswerContent, RequestContent, ServiceSender } from './CoreServices.js';
 
 /** The router of one service and the endpoints that it uses. */
 export interface ServiceRouter {
@@ -25,6 +24,7 @@
   readonly seed: number;
   readonly claims: RequestClaims;
   readonly peers: PeerForwarder<RequestContent, AnswerContent>;
+  readonly createSender: (section: ServiceSection) => ServiceSender;
 }
 
 /** The routers of the configured services; rebuilt for a service when its section changes. */
@@ -56,6 +56,11 @@
     return this.routers.get(service);
   }
 
+  /** Whether a configuration is in force. */
+  public get isConfigured(): boolean {
+    return this.configuration !== undefined;
+  }
+
   /** Requests open at this instance. */
   public get open(): number {
     return this.all.reduce((sum, service) => sum + service.router.open, 0);
@@ -115,9 +120,7 @@
     const { clock, instanceId, claims, peers, seed } = this.context;
     const random = new Random(seed);
     const endpoints = new EndpointTable(instanceId, section['endpoint-slots'], random);
-    const connections = section['endpoint-connections'];
-    const maxBody = section['max-body-bytes'];
-    const sender = new HttpEndpointSender(instanceId, clock, connections, maxBody);
+    const sender = this.context.createSender(section);
     this.owned.register(sender);
     const limits = { timeoutMs: section['timeout-ms'], retryPercent: section['retry-percent'] };
     const router = new RequestRouter<RequestContent, AnswerContent>(
--- a/packages/daemon/src/createStatusReport.ts
+++ b/packages/daemon/src/createStatusReport.ts
@@ -1,55 +1,43 @@
-import type { MeshNode } from '@apricothoist/mesh';
-import type { BudgetedStore } from '@apricothoist/platform';
+import type { Mesh } from '@apricothoist/mesh';
 
-import type { ConfigurationKeeper } from './ConfigurationKeeper.js';
-import type { PlanKeeper } from './PlanKeeper.js';
-import type { PlanRunner } from './PlanRunner.js';
+import type { EntryCore } from './EntryCore.js';
 import type { ServiceRouters } from './ServiceRouters.js';
 import type { EndpointEntry, InstanceEntry, StatusReport } from './StatusReport.js';
-import type { WorkerGateway } from './WorkerGateway.js';
 
 /** What a report is made from. */
 export interface StatusSources {
   readonly instanceId: string;
   readonly name: string;
   readonly dataCentre: string;
-  readonly isReady: boolean;
-  readonly isLeaving: boolean;
-  readonly configurations: ConfigurationKeeper;
-  readonly store: BudgetedStore;
-  readonly runner: PlanRunner;
-  readonly plan: PlanKeeper;
-  readonly routers: ServiceRouters;
-  readonly gateway: WorkerGateway;
-  readonly mesh: MeshNode;
+  readonly core: EntryCore;
   readonly shortfall: StatusReport['shortfall'];
 }
 
 export function createStatusReport(sources: StatusSources): StatusReport {
-  const { instanceId, name, dataCentre, isReady, isLeaving, shortfall } = sources;
-  const { traffic } = sources.mesh;
+  const { instanceId, name, dataCentre, core, shortfall } = sources;
+  const { traffic } = core.mesh;
   return {
     instanceId,
     name,
     dataCentre,
-    isReady,
-    isLeaving,
-    configurationRevision: sources.configurations.revision,
-    storeState: sources.store.state,
-    storeCalls: sources.store.calls,
-    schedulesDataCentre: sources.runner.leads,
-    planRevision: sources.plan.current.revision,
-    openRequests: sources.routers.open,
+    isReady: core.isReady,
+    isLeaving: core.isLeavingNow,
+    configurationRevision: core.configurations.revision,
+    storeState: core.store.state,
+    storeCalls: core.store.calls,
+    schedulesDataCentre: core.runner.leads,
+    planRevision: core.plan.current.revision,
+    openRequests: core.routers.open,
     shortfall,
-    instances: listInstances(sources.mesh),
-    endpoints: listEndpoints(sources.routers),
-    workers: sources.gateway.workers,
+    instances: listInstances(core.mesh),
+    endpoints: listEndpoints(core.routers),
+    workers: core.gateway.workers,
     meshBytesSent: traffic.sent,
     meshBytesReceived: traffic.received,
   };
 }
 
-function listInstances(mesh: MeshNode): InstanceEntry[] {
+function listInstances(mesh: Mesh): InstanceEntry[] {
   return mesh.membership.all.map((member) => ({
     instanceId: member.instanceId,
     dataCentre: member.dataCentre,
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -6,39 +6,19 @@
 import { err } from 'neverthrow';
 
 import { Membership } from './Membership.js';
+import type { Describe, Mesh, MeshIdentity, MeshTraffic, RequestHandler } from './Mesh.js';
 import { MeshError, MeshErrorKind } from './MeshError.js';
-import type { RequestHandler } from './MeshServer.js';
 import { MeshServer } from './MeshServer.js';
 import type { Digest, PeerAddress } from './Message.js';
 import { MessageKind } from './Message.js';
 import { PeerLink } from './PeerLink.js';
 
-/** Who this instance is on the mesh. */
-export interface MeshIdentity {
-  readonly instanceId: string;
-  readonly dataCentre: string;
-  /** `host:port` of the mesh listener. */
-  readonly address: string;
-}
-
-/** The changing part of a digest. */
-export type DigestContent = Omit<
-  Digest,
-  'instanceId' | 'dataCentre' | 'address' | 'sequence' | 'peers'
->;
-
-/** Traffic with peers since the start, in bytes of messages. */
-export interface MeshTraffic {
-  readonly sent: number;
-  readonly received: number;
-}
-
 const digestIntervalMs = 1_000;
 /** Every so many digests the known instances are sent along. */
 const introductionInterval = 10;
 
 /** One instance's place in the mesh: a link to every known peer, and digests once a second. */
-export class MeshNode implements Disposable {
+export class MeshNode implements Mesh {
   public readonly membership: Membership;
 
   private readonly links = new Map<string, PeerLink>();
@@ -47,7 +27,6 @@
 
   private readonly heard = new Emitter<Digest>();
 
-  /** Fires with every digest that is news. */
   public readonly onDigest: Event<Digest> = this.heard.event;
 
   private readonly membersChanged = new Emitter<void>();
@@ -56,7 +35,6 @@
 
   private readonly rejected = new Emitter<string>();
 
-  /** Fires when a link or a frame was refused. */
   public readonly onRejected: Event<string> = this.rejected.event;
 
   private readonly topics = new Map<string, RequestHandler>();
@@ -76,7 +54,7 @@
     private readonly token: Secret,
     server: Server,
     private readonly clock: Clock,
-    private readonly describe: (isSameDataCentre: boolean) => DigestContent,
+    private readonly describe: Describe,
   ) {
     this.membership = new Membership(identity.instanceId);
     this.server = new MeshServer(server, token, {
@@ -87,26 +65,22 @@
     this.timer = setInterval(() => this.tick(), digestIntervalMs);
   }
 
-  /** Registers what answers requests of a topic. */
   public handle(topic: string, handler: RequestHandler): void {
     this.topics.set(topic, handler);
   }
 
-  /** Takes over the entry instances of the platform's list. */
   public updateListed(peers: readonly PeerAddress[]): void {
     if (this.membership.updateListed(peers, this.clock.monotonic())) {
       this.reconcileLinks();
     }
   }
 
-  /** Sends a digest to every peer now, for news that should not wait. */
   public announce(): void {
     this.rounds += 1;
     const hasPeers = this.rounds % introductionInterval === 0;
     this.links.forEach((link, instanceId) => this.sendDigest(instanceId, link, hasPeers));
   }
 
-  /** @param deadline monotonic milliseconds */
   public request(
     instanceId: string,
     topic: string,
--- a/packages/mesh/src/MeshServer.ts
+++ b/packages/mesh/src/MeshServer.ts
@@ -4,14 +4,12 @@
 import type { WebSocket } from 'ws';
 import { WebSocketServer } from 'ws';
 
+import type { RequestHandler } from './Mesh.js';
 import type { MeshError } from './MeshError.js';
 import type { Digest, Message } from './Message.js';
 import { decodeMessage, encodeMessage, MessageKind } from './Message.js';
 import { malformedCloseCode, maxFrameBytes } from './PeerLink.js';
 
-/** Answers requests of one topic. */
-export type RequestHandler = (body: unknown) => Promise<unknown>;
-
 /** What the server does with what it receives. */
 export interface MeshServerHandlers {
   readonly onDigest: (digest: Digest) => void;
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -12,6 +12,12 @@
 export type { Member } from './Membership.js';
 export { maxFrameBytes, PeerLink } from './PeerLink.js';
 export { MeshServer } from './MeshServer.js';
-export type { RequestHandler } from './MeshServer.js';
 export { MeshNode } from './MeshNode.js';
-export type { DigestContent, MeshIdentity, MeshTraffic } from './MeshNode.js';
+export type {
+  Describe,
+  DigestContent,
+  Mesh,
+  MeshIdentity,
+  MeshTraffic,
+  RequestHandler,
+} from './Mesh.js';
--- a/packages/platform/src/BudgetedStore.ts
+++ b/packages/platform/src/BudgetedStore.ts
@@ -1,7 +1,5 @@
-import { setTimeout as delay } from 'node:timers/promises';
-
-import type { Clock, Random } from '@apricothoist/common';
-import { createIdentifier } from '@apricothoist/common';
+import type { Clock, Event, Random } from '@apricothoist/common';
+import { createIdentifier, delay, Emitter } from '@apricothoist/common';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
@@ -46,6 +44,11 @@
 
   private readonly reads = new Map<string, Promise<Outcome<StoredValue | undefined>>>();
 
+  private readonly stateChanged = new Emitter<StoreState>();
+
+  /** Fires when the store becomes slow, goes down or is up again. */
+  public readonly onStateChange: Event<StoreState> = this.stateChanged.event;
+
   public calls = 0;
 
   public constructor(
@@ -176,8 +179,13 @@
 
   private record(result: Result<unknown, StoreError>): void {
     const outcome = result.isOk() ? CallOutcome.answered : outcomeOfError[result.error.kind];
-    if (outcome !== undefined) {
-      this.health.record(outcome, this.clock.monotonic());
+    if (outcome === undefined) {
+      return;
+    }
+    const before = this.health.state;
+    this.health.record(outcome, this.clock.monotonic());
+    if (this.health.state !== before) {
+      this.stateChanged.fire(this.health.state);
     }
   }
 }
--- a/packages/router/src/RequestRouter.ts
+++ b/packages/router/src/RequestRouter.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random, Event } from '@apricothoist/common';
-import { Emitter } from '@apricothoist/common';
+import { delay, Emitter } from '@apricothoist/common';
 import PQueue from 'p-queue';
 
 import { admit } from './Admission.js';
@@ -145,9 +145,7 @@
   public async stop(): Promise<void> {
     this.isStopping = true;
     while (this.courses.size > 0) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, sweepIntervalMs);
-      });
+      await delay(sweepIntervalMs);
     }
   }
 
@@ -251,9 +249,7 @@
       return;
     }
     course.excluded.clear();
-    await new Promise((resolve) => {
-      setTimeout(resolve, sweepIntervalMs);
-    });
+    await delay(sweepIntervalMs);
     this.requeue(course);
   }
 
--- a/packages/router/src/Ticket.ts
+++ b/packages/router/src/Ticket.ts
@@ -33,6 +33,8 @@
 export const RefusalReason = {
   unknownAccount: 'unknownAccount',
   unknownService: 'unknownService',
+  /** No configuration is in force yet. */
+  notReady: 'notReady',
   accountLimit: 'accountLimit',
   overloaded: 'overloaded',
   noEndpoint: 'noEndpoint',
--- a/packages/scheduler/src/PlacementRound.ts
+++ b/packages/scheduler/src/PlacementRound.ts
@@ -1,5 +1,5 @@
 import type { Configuration } from '@apricothoist/config';
-import { Urgency } from '@apricothoist/config';
+import { Adjacency, Urgency } from '@apricothoist/config';
 
 import { Capacity } from './Capacity.js';
 import type { WorkerShare, WorkerView } from './Capacity.js';
@@ -59,6 +59,9 @@
 
   private readonly now: number;
 
+  /** All accelerators of the usable workers. */
+  private readonly whole: Capacity;
+
   /** Accelerators that nothing holds. */
   private readonly free: Capacity;
 
@@ -83,6 +86,7 @@
     this.now = input.now;
     const { attempts } = this.draft;
     this.free = Capacity.of(input.workers.map((worker) => this.withoutQuarantined(worker)));
+    this.whole = this.free.clone();
     this.soonFree = this.free.clone();
     this.promised = this.free.clone();
     this.ledger = new GuaranteeLedger(
@@ -397,9 +401,11 @@
     });
   }
 
+  // Workers where the job has failed, unless it cannot do without them.
   private avoidedWorkers(job: Job): ReadonlySet<number> {
     const indexes = job.failedWorkers.map((workerId) => this.free.indexOf(workerId));
-    return new Set(indexes.filter((index) => index !== undefined));
+    const avoided = new Set(indexes.filter((index) => index !== undefined));
+    return avoided.size === 0 || canEverHold(this.whole, job.shape, avoided) ? avoided : new Set();
   }
 
   private withoutQuarantined(worker: WorkerView): WorkerView {
@@ -423,6 +429,13 @@
   return { shares: placement.shares, victims: [] };
 }
 
+function canEverHold(whole: Capacity, shape: Shape, avoided: ReadonlySet<number>): boolean {
+  const racks = whole.racks.map((workers) => workers.filter((worker) => !avoided.has(worker)));
+  const groups = shape.adjacency === Adjacency.rack ? racks : [racks.flat()];
+  const per = shape.acceleratorsPerWorker;
+  return groups.some((workers) => whole.taskRoom(workers, per) >= shape.workers);
+}
+
 function isStopping(attempt: Attempt): boolean {
   return attempt.state === AttemptState.checkpointing || attempt.state === AttemptState.releasing;
 }
--- a/packages/testing/src/MemoryStore.ts
+++ b/packages/testing/src/MemoryStore.ts
@@ -104,6 +104,11 @@
     waiters.forEach((waiter) => waiter.settle({ revision, keys: [] }));
   }
 
+  /** The value of a key, without a call. */
+  public peek(key: string): string | undefined {
+    return this.rows.get(key)?.value;
+  }
+
   public keys(prefix: string): string[] {
     return [...this.rows.keys()].filter((key) => key.startsWith(prefix));
   }
--- a/packages/testing/src/WorkerModel.ts
+++ b/packages/testing/src/WorkerModel.ts
@@ -11,7 +11,8 @@
   /** Work of the job at full speed. */
   runMs: (jobId: string) => number;
   checkpointMs: number;
-  isFailingAll: boolean;
+  /** Whether every task fails as soon as it runs. */
+  isFailing: () => boolean;
 }
 
 /** A stretch of time in which a task ran. Wall milliseconds; open while it runs. */
@@ -153,7 +154,7 @@
       task.startedAt + this.behaviour.runMs(task.assignment.jobId) - task.assignment.resumeFromMs;
     const until = Math.min(now, task.leaseUntil, task.stopAt, doneAt);
     task.progressMs = task.assignment.resumeFromMs + Math.max(0, until - task.startedAt);
-    if (this.behaviour.isFailingAll) {
+    if (this.behaviour.isFailing()) {
       end(task, TaskState.failed, now);
     } else if (until === doneAt && doneAt <= now) {
       end(task, TaskState.finished, doneAt);
--- a/packages/testing/src/standIn.ts
+++ b/packages/testing/src/standIn.ts
@@ -31,7 +31,7 @@
   const behaviour = {
     runMs: () => runMs,
     checkpointMs: defaultCheckpointMs,
-    isFailingAll: false,
+    isFailing: () => false,
   };
   const creators: Record<StandInOptions['kind'], () => Listening[]> = {
     store: () => [new StoreServer()],
