Router bench; slots dealt out, cautious borrowing, admission by the pace of the queue

What: (1) borrow only where peers' reports leave idle slots, and after a refusal not before they have reported again; (2) deal the slots of an endpoint out instead of hashing each one, because hashed ownership varies by a fifth between instances; (3) admission and shedding look at the pace at which the queue of the account has moved.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,11 +1,13 @@
 import process from 'node:process';
 
+import { runRouterBench } from './router/routerBench.js';
 import { runSchedulerBench } from './scheduler/schedulerBench.js';
 
 type Bench = (print: (text: string) => void) => void | Promise<void>;
 
 /** The benches, by the name given on the command line. */
 const benches: Readonly<Record<string, Bench>> = {
+  router: runRouterBench,
   scheduler: runSchedulerBench,
 };
 
--- a/packages/faults/src/VirtualInstance.ts
+++ b/packages/faults/src/VirtualInstance.ts
@@ -5,10 +5,6 @@
 import type {
   InstanceList,
   ListedInstance,
-  StoreChanges,
-  StoredValue,
-  StoreTransport,
-  StoreWrite,
   WorkerAssignment,
   WorkerClient,
   WorkerReport,
@@ -16,8 +12,6 @@
 import {
   InstanceListError,
   InstanceListErrorKind,
-  StoreError,
-  StoreErrorKind,
   WorkerError,
   WorkerErrorKind,
 } from '@apricothoist/platform';
@@ -30,6 +24,7 @@
 import { VirtualMesh } from './VirtualMesh.js';
 import type { VirtualNetwork } from './VirtualNetwork.js';
 import { CallFault } from './VirtualNetwork.js';
+import { VirtualTransport } from './VirtualTransport.js';
 
 /** What all instances of a virtual world share. */
 export interface WorldServices {
@@ -45,7 +40,6 @@
   readonly createId: () => string;
 }
 
-const storeName = 'store';
 const listName = 'list';
 const listTimeoutMs = 2_000;
 
@@ -83,57 +77,6 @@
   );
 }
 
-class VirtualTransport implements StoreTransport {
-  public constructor(
-    private readonly name: string,
-    private readonly world: WorldServices,
-  ) {}
-
-  public read(key: string, deadline: number): Promise<Result<StoredValue | undefined, StoreError>> {
-    return this.call((store) => store.read(key), deadline, StoreErrorKind.timeout);
-  }
-
-  public list(
-    prefix: string,
-    deadline: number,
-  ): Promise<Result<readonly StoredValue[], StoreError>> {
-    return this.call((store) => store.list(prefix), deadline, StoreErrorKind.timeout);
-  }
-
-  public write(write: StoreWrite, deadline: number): Promise<Result<number, StoreError>> {
-    return this.call((store) => store.write(write), deadline, StoreErrorKind.unknown);
-  }
-
-  public watch(
-    prefix: string,
-    revision: number,
-    deadline: number,
-  ): Promise<Result<StoreChanges, StoreError>> {
-    const timer = setTimeout(() => this.world.store.endWatches(), 4_000);
-    const changes = this.call(
-      (store) => store.watch(prefix, revision),
-      deadline,
-      StoreErrorKind.timeout,
-    );
-    return changes.finally(() => clearTimeout(timer));
-  }
-
-  private async call<T>(
-    work: (store: MemoryStore) => Promise<Result<T, StoreError>>,
-    deadline: number,
-    onTimeout: StoreErrorKind,
-  ): Promise<Result<T, StoreError>> {
-    const { network, store } = this.world;
-    const answer = await network.call(this.name, storeName, () => work(store), deadline);
-    return answer
-      .mapErr((fault) => {
-        const kind = fault === CallFault.refused ? StoreErrorKind.unavailable : onTimeout;
-        return new StoreError(kind, `store: ${fault}`);
-      })
-      .andThen((result) => result);
-  }
-}
-
 function createList(name: string, world: WorldServices): InstanceList {
   return {
     read: async () => {
--- /dev/null
+++ b/packages/faults/src/VirtualTransport.ts
@@ -0,0 +1,62 @@
+import type { StoreChanges, StoredValue, StoreTransport, StoreWrite } from '@apricothoist/platform';
+import { StoreError, StoreErrorKind } from '@apricothoist/platform';
+import type { MemoryStore } from '@apricothoist/testing';
+import type { Result } from 'neverthrow';
+
+import type { WorldServices } from './VirtualInstance.js';
+import { CallFault } from './VirtualNetwork.js';
+
+const storeName = 'store';
+const watchWaitMs = 4_000;
+
+/** The store as one instance reaches it over the virtual network. */
+export class VirtualTransport implements StoreTransport {
+  public constructor(
+    private readonly name: string,
+    private readonly world: WorldServices,
+  ) {}
+
+  public read(key: string, deadline: number): Promise<Result<StoredValue | undefined, StoreError>> {
+    return this.call((store) => store.read(key), deadline, StoreErrorKind.timeout);
+  }
+
+  public list(
+    prefix: string,
+    deadline: number,
+  ): Promise<Result<readonly StoredValue[], StoreError>> {
+    return this.call((store) => store.list(prefix), deadline, StoreErrorKind.timeout);
+  }
+
+  public write(write: StoreWrite, deadline: number): Promise<Result<number, StoreError>> {
+    return this.call((store) => store.write(write), deadline, StoreErrorKind.unknown);
+  }
+
+  public watch(
+    prefix: string,
+    revision: number,
+    deadline: number,
+  ): Promise<Result<StoreChanges, StoreError>> {
+    const timer = setTimeout(() => this.world.store.endWatches(), watchWaitMs);
+    const changes = this.call(
+      (store) => store.watch(prefix, revision),
+      deadline,
+      StoreErrorKind.timeout,
+    );
+    return changes.finally(() => clearTimeout(timer));
+  }
+
+  private async call<T>(
+    work: (store: MemoryStore) => Promise<Result<T, StoreError>>,
+    deadline: number,
+    onTimeout: StoreErrorKind,
+  ): Promise<Result<T, StoreError>> {
+    const { network, store } = this.world;
+    const answer = await network.call(this.name, storeName, () => work(store), deadline);
+    return answer
+      .mapErr((fault) => {
+        const kind = fault === CallFault.refused ? StoreErrorKind.unavailable : onTimeout;
+        return new StoreError(kind, `store: ${fault}`);
+      })
+      .andThen((result) => result);
+  }
+}
--- a/packages/faults/src/main.ts
+++ b/packages/faults/src/main.ts
@@ -69,7 +69,7 @@
 }
 
 // Cells take turns on one set of timers, so each process runs its share of them.
-async function runAll(cells: readonly Cell[]): Promise<CellLine[]> {
+async function runAll(): Promise<CellLine[]> {
   const count = Math.max(1, availableParallelism() - 1);
   const lines: CellLine[] = [];
   const shards = Array.from({ length: count }, (_, shard) => {
@@ -95,7 +95,7 @@
     return true;
   }
   print(`${cells.length} cells (${sets.join(', ')}), seed ${options.seed}`);
-  const lines = await runAll(cells);
+  const lines = await runAll();
   const failed = lines.filter((line) => line.problems.length > 0);
   print(printMatrix(cells, lines));
   failed.forEach(({ index, problems }) => {
--- a/packages/router/src/Admission.ts
+++ b/packages/router/src/Admission.ts
@@ -50,7 +50,9 @@
     return sum + Math.min(queue.backlog(account, ticket.urgency), turns);
   }, 0);
   const ahead = queue.backlogAbove(ticket.urgency) + own + shared;
-  return (ahead * state.serviceMs) / Math.max(1, state.concurrency);
+  const modelled = (ahead * state.serviceMs) / Math.max(1, state.concurrency);
+  // The pace knows what the model does not: how much more pressing work keeps arriving.
+  return Math.max(modelled, queue.paceWaitMs(ticket.account, ticket.urgency));
 }
 
 function refuse(reason: RefusalReason, waitMs: number): Refusal {
--- a/packages/router/src/Endpoint.ts
+++ b/packages/router/src/Endpoint.ts
@@ -23,13 +23,17 @@
 
 /** Outcomes remembered for judging health. */
 const windowSize = 16;
+/** Idle slots that are left to their owners. */
+const borrowMargin = 1;
 const minOutcomes = 5;
 const ejectFailureShare = 0.5;
 const warmUpMs = 5_000;
 const firstEjectionMs = 2_000;
 const maxEjectionMs = 60_000;
-/** Time in milliseconds for which an endpoint counts as full after it refused for lack of slots. */
-const busyMs = 25;
+/** Time in milliseconds for which an endpoint counts as full after it refused an own slot. */
+const ownBusyMs = 10;
+/** The same after it refused a borrowed slot: until peers have reported their load again. */
+const borrowedBusyMs = 1_000;
 
 /** One endpoint as one instance sees it. Times are monotonic milliseconds. */
 export class Endpoint {
@@ -45,6 +49,8 @@
 
   private busyUntil = 0;
 
+  private notLentUntil = 0;
+
   /** Requests that this instance has sent and not heard of. */
   public inFlight = 0;
 
@@ -96,8 +102,16 @@
     return (this.inFlight + this.peerInFlight) / Math.max(1, this.allowedSlots(now));
   }
 
+  /** Whether a slot that another instance owns may be used: some must be known to be idle. */
+  public isBorrowable(now: number): boolean {
+    const idle = this.allowedSlots(now) - this.inFlight - this.peerInFlight;
+    return now >= this.notLentUntil && idle > borrowMargin;
+  }
+
+  /** Notes that the endpoint refused a request for lack of slots. */
   public noteBusy(now: number): void {
-    this.busyUntil = now + busyMs;
+    this.busyUntil = now + ownBusyMs;
+    this.notLentUntil = now + borrowedBusyMs;
   }
 
   public leave(): void {
--- a/packages/router/src/EndpointTable.ts
+++ b/packages/router/src/EndpointTable.ts
@@ -1,5 +1,5 @@
 import type { Random } from '@apricothoist/common';
-import { rendezvousOwner } from '@apricothoist/common';
+import { rendezvousWeight } from '@apricothoist/common';
 
 import { Endpoint, EndpointState } from './Endpoint.js';
 
@@ -16,8 +16,8 @@
 const maxRemembered = 1_000;
 
 /**
- * The endpoints of one service in one data centre, as one instance uses them. Every slot of every
- * endpoint has an owner among the instances, found by rendezvous hash without any message. An
+ * The endpoints of one service in one data centre, as one instance uses them. The slots of every
+ * endpoint are dealt out to the instances by rendezvous hash, without any message. An
  * instance uses its own slots first and then borrows: of two random endpoints with room it takes
  * the less loaded one, by its own count and what peers reported. The endpoint's refusal is final.
  */
@@ -85,13 +85,11 @@
   /** The best endpoint for one more request, or undefined when none has room. */
   public choose(excluded: ReadonlySet<string>, now: number): Endpoint | undefined {
     const open = this.all.filter((endpoint) => !excluded.has(endpoint.id) && endpoint.hasRoom(now));
-    const own = open.filter(
-      (endpoint) => endpoint.inFlight < (this.ownedSlots.get(endpoint.id) ?? 0),
-    );
+    const own = open.filter((endpoint) => endpoint.inFlight < this.ownedSlotsOf(endpoint.id));
     if (own.length > 0) {
       return this.lessLoaded(own, now);
     }
-    const borrowable = open.filter((endpoint) => endpoint.load(now) < 1);
+    const borrowable = open.filter((endpoint) => endpoint.isBorrowable(now));
     return borrowable.length > 0 ? this.lessLoaded(borrowable, now) : undefined;
   }
 
@@ -99,9 +97,9 @@
   public usableSlots(now: number): number {
     return this.all.reduce((sum, endpoint) => {
       const allowed = endpoint.allowedSlots(now);
-      const ownShare = Math.min(allowed, this.ownedSlots.get(endpoint.id) ?? 0);
-      const unused = Math.max(0, allowed - endpoint.peerInFlight);
-      const usable = endpoint.hasRoom(now) ? Math.max(ownShare, unused) : 0;
+      const ownShare = Math.min(allowed, this.ownedSlotsOf(endpoint.id));
+      const withBorrowed = endpoint.isBorrowable(now) ? endpoint.inFlight + 1 : 0;
+      const usable = endpoint.hasRoom(now) ? Math.max(ownShare, withBorrowed) : 0;
       return sum + Math.max(endpoint.inFlight, usable);
     }, 0);
   }
@@ -118,6 +116,11 @@
     }
   }
 
+  /** Slots of an endpoint that this instance owns. */
+  public ownedSlotsOf(endpointId: string): number {
+    return this.ownedSlots.get(endpointId) ?? 0;
+  }
+
   /** Notes that a request to the endpoint has ended, however it ended. */
   public finish(endpoint: Endpoint): void {
     endpoint.inFlight -= 1;
@@ -169,13 +172,15 @@
     );
   }
 
+  // Deals the slots of an endpoint out to the instances, in an order that is its own.
   private countOwned(endpointId: string): number {
-    let owned = 0;
-    for (let slot = 0; slot < this.slotsPerEndpoint; slot += 1) {
-      if (rendezvousOwner(`${endpointId}/${slot}`, this.members) === this.instanceId) {
-        owned += 1;
-      }
-    }
-    return owned;
+    const order = this.members
+      .map((member) => ({ member, weight: rendezvousWeight(endpointId, member) }))
+      .sort((left, right) => right.weight - left.weight)
+      .map((entry) => entry.member);
+    const place = order.indexOf(this.instanceId);
+    const slots = Math.floor(this.slotsPerEndpoint / order.length);
+    const hasOneMore = place < this.slotsPerEndpoint % order.length;
+    return place < 0 ? 0 : slots + (hasOneMore ? 1 : 0);
   }
 }
--- a/packages/router/src/FairQueue.ts
+++ b/packages/router/src/FairQueue.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@apricothoist/common';
 import { Urgency } from '@apricothoist/config';
 import type { Queue, QueueAddOptions } from 'p-queue';
 
@@ -20,11 +21,17 @@
 interface Lane {
   readonly account: string;
   readonly entries: Entry[];
+  /** Monotonic milliseconds at which a request was last taken, or began to wait. */
+  movedAt: number;
+  /** Mean time in milliseconds between two takings while requests wait; 0 until known. */
+  intervalMs: number;
 }
 
 const urgencies = [Urgency.urgent, Urgency.normal, Urgency.batch] as const;
 /** Every so many dequeues, the request that has waited longest goes first, whatever its urgency. */
 const agingInterval = 8;
+/** Weight of the newest time between two takings. */
+const newestWeight = 0.1;
 
 /** Weight of an account in sharing slots. */
 export type WeightOf = (account: string) => number;
@@ -54,7 +61,10 @@
   /** Service received by the account that was served last; late comers start from it. */
   private floor = 0;
 
-  public constructor(private readonly weightOf: WeightOf) {}
+  public constructor(
+    private readonly weightOf: WeightOf,
+    private readonly clock: Clock,
+  ) {}
 
   public get size(): number {
     return this.count;
@@ -79,6 +89,9 @@
     }
     const entry = { run, options: { ...options, ticket }, sequence: this.sequence };
     this.sequence += 1;
+    if (lane.entries.length === 0) {
+      lane.movedAt = this.clock.monotonic();
+    }
     // A request that comes back after a busy endpoint takes its old place.
     const place = lane.entries.findLastIndex(
       (other) => other.options.ticket.arrivedAt <= ticket.arrivedAt,
@@ -107,6 +120,26 @@
       .reduce((sum, item) => sum + (this.lanes[item].get(account)?.entries.length ?? 0), 0);
   }
 
+  /**
+   * Milliseconds that the next request of the account would wait at the pace at which its queue
+   * has moved lately; 0 when nothing waits there.
+   */
+  public paceWaitMs(account: string, urgency: Urgency): number {
+    const lane = this.lanes[urgency].get(account);
+    return lane === undefined ? 0 : this.laneWaitMs(lane, lane.entries.length);
+  }
+
+  /** Tickets that would start after their deadline at the pace of their queue. */
+  public hopeless(isHopeless: (ticket: Ticket, waitMs: number) => boolean): Ticket[] {
+    return urgencies.flatMap((urgency) =>
+      [...this.lanes[urgency].values()].flatMap((lane) =>
+        lane.entries
+          .filter((entry, place) => isHopeless(entry.options.ticket, this.laneWaitMs(lane, place)))
+          .map((entry) => entry.options.ticket),
+      ),
+    );
+  }
+
   /** Queued requests of all accounts that are more pressing than `urgency`. */
   public backlogAbove(urgency: Urgency): number {
     return urgencies
@@ -134,8 +167,9 @@
     if (known !== undefined) {
       return known;
     }
-    const lane = { account: ticket.account, entries: [] };
-    lanes.set(ticket.account, lane);
+    const { account } = ticket;
+    const lane: Lane = { account, entries: [], movedAt: 0, intervalMs: 0 };
+    lanes.set(account, lane);
     return lane;
   }
 
@@ -183,12 +217,25 @@
     return this.served.get(lane.account) ?? 0;
   }
 
+  private laneWaitMs(lane: Lane, place: number): number {
+    const sinceMoved = this.clock.monotonic() - lane.movedAt;
+    return lane.entries.length === 0 ? 0 : Math.max(lane.intervalMs, sinceMoved) * place;
+  }
+
+  private noteTaken(lane: Lane): void {
+    const now = this.clock.monotonic();
+    const weight = lane.intervalMs === 0 ? 1 : newestWeight;
+    lane.intervalMs += weight * (now - lane.movedAt - lane.intervalMs);
+    lane.movedAt = now;
+  }
+
   private takeFrom(lane: Lane): Entry {
     const entry = lane.entries.shift();
     if (entry === undefined) {
       throw new RangeError(`no request of account "${lane.account}" is queued`);
     }
     this.count -= 1;
+    this.noteTaken(lane);
     this.floor = Math.max(this.floor, this.servedOf(lane));
     const weight = Math.max(1, this.weightOf(lane.account));
     this.served.set(lane.account, this.servedOf(lane) + 1 / weight);
--- a/packages/router/src/RequestRouter.ts
+++ b/packages/router/src/RequestRouter.ts
@@ -56,6 +56,8 @@
 
 /** Milliseconds between looks for queued requests that can no longer be answered in time. */
 const sweepIntervalMs = 20;
+/** How many times longer than its pace says a queue may take before its last ones are refused. */
+const paceTolerance = 1.5;
 const maxSends = 4;
 const retryAfterBaseMs = 200;
 const retryAfterSpread = 0.5;
@@ -89,7 +91,7 @@
     private readonly services: RouterServices<Body, Answer>,
     private readonly limits: ServiceLimits,
   ) {
-    this.fairQueue = new FairQueue(services.weightOf);
+    this.fairQueue = new FairQueue(services.weightOf, services.clock);
     const { fairQueue } = this;
     // p-queue constructs its queue class itself.
     function QueueClass(): FairQueue {
@@ -360,9 +362,9 @@
     return now + this.rate.meanMs <= course.ticket.deadline;
   }
 
-  private giveUp(course: Course<Body, Answer>): void {
+  private giveUp(course: Course<Body, Answer>, cause?: RefusalReason): void {
     const isLate = !this.isFeasible(course);
-    const reason = isLate ? RefusalReason.deadline : RefusalReason.failed;
+    const reason = cause ?? (isLate ? RefusalReason.deadline : RefusalReason.failed);
     this.finish(course, this.refusal(reason, course.mayHaveRun));
   }
 
@@ -397,9 +399,15 @@
   // A queued request that can no longer be answered in time gets its refusal now.
   private sweep(): void {
     this.refreshConcurrency();
+    const now = this.services.clock.monotonic();
+    const hopeless = new Set(
+      this.fairQueue.hopeless(
+        (ticket, waitMs) => now + waitMs / paceTolerance + this.rate.meanMs > ticket.deadline,
+      ),
+    );
     this.courses.forEach((course) => {
-      if (!course.isRunning && !this.isFeasible(course)) {
-        this.giveUp(course);
+      if (!course.isRunning && hopeless.has(course.ticket)) {
+        this.giveUp(course, RefusalReason.overloaded);
       }
     });
   }
