--- a/packages/config/src/Configuration.ts
+++ b/packages/config/src/Configuration.ts
@@ -1,21 +1,24 @@
 import { z } from 'zod';
 
+/** A value as the INI library gives it: it turns true and false into booleans. */
+const text = z.preprocess(
+  (value) => (typeof value === 'boolean' ? String(value) : value),
+  z.string(),
+);
+
 /** Names are used as INI section parts, store keys and metric labels. */
 const name = z
   .string()
   .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected lower-case letters, digits and hyphens');
-const wholeNumber = z.coerce
-  .string()
-  .regex(/^\d{1,12}$/, 'expected a whole number')
+const wholeNumber = text
+  .pipe(z.string().regex(/^\d{1,12}$/, 'expected a whole number'))
   .transform(Number);
 const positive = wholeNumber.refine((value) => value > 0, 'expected a whole number above 0');
-const fraction = z.coerce
-  .string()
-  .regex(/^(0(\.\d{1,6})?|1(\.0{1,6})?)$/, 'expected a number from 0 to 1')
+const fraction = text
+  .pipe(z.string().regex(/^(0(\.\d{1,6})?|1(\.0{1,6})?)$/, 'expected a number from 0 to 1'))
   .transform(Number);
-const flag = z.coerce
-  .string()
-  .regex(/^(true|false)$/, 'expected true or false')
+const flag = text
+  .pipe(z.string().regex(/^(true|false)$/, 'expected true or false'))
   .transform((value) => value === 'true');
 const names = z
   .string()
--- a/packages/config/src/parseConfiguration.ts
+++ b/packages/config/src/parseConfiguration.ts
@@ -57,8 +57,8 @@
   const isSection = path.length <= 1 && path[0] !== 'deployment';
   const section = isSection ? path.join('.') : path.slice(0, -1).join('.');
   const key = isSection ? '' : (path.at(-1) ?? '');
-  const isMissing = issue.code === 'invalid_type' && issue.input === undefined;
-  return { file, section, key, message: isMissing ? `missing: ${issue.message}` : issue.message };
+  const isMissing = issue.message.endsWith('received undefined');
+  return { file, section, key, message: isMissing ? 'missing' : issue.message };
 }
 
 function findDuplicates(text: string, file: string): ConfigurationFault[] {
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -152,7 +152,7 @@
     return `${source}: ${place}`;
   }
   const place = key === '' ? `[${section}]` : `[${section}] ${key}`;
-  const isMissing = issue.code === 'invalid_type' && issue.input === undefined;
+  const isMissing = issue.message.endsWith('received undefined');
   return `${source}: ${place}: ${isMissing ? 'missing' : issue.message}`;
 }
 
