--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -166,9 +166,12 @@
   private sendDigest(instanceId: string, link: PeerLink, hasPeers: boolean): void {
     const dataCentre = this.membership.get(instanceId)?.dataCentre;
     this.sequence += 1;
+    const { instanceId: ownId, dataCentre: ownDataCentre, address } = this.identity;
     const digest: Digest = {
-      ...this.identity,
-      ...this.describe(dataCentre === this.identity.dataCentre),
+      instanceId: ownId,
+      dataCentre: ownDataCentre,
+      address,
+      ...this.describe(dataCentre === ownDataCentre),
       sequence: this.sequence,
       peers: hasPeers ? this.introductions() : [],
     };
--- a/packages/mesh/src/MeshServer.ts
+++ b/packages/mesh/src/MeshServer.ts
@@ -7,7 +7,7 @@
 import type { RequestHandler } from './Mesh.js';
 import type { MeshError } from './MeshError.js';
 import type { Digest, Message } from './Message.js';
-import { decodeMessage, encodeMessage, MessageKind } from './Message.js';
+import { decodeMessage, encodeMessage, meshPath, MessageKind } from './Message.js';
 import { malformedCloseCode, maxFrameBytes } from './PeerLink.js';
 
 /** What the server does with what it receives. */
@@ -18,6 +18,7 @@
 }
 
 const bearer = /^Bearer (.+)$/;
+const notFoundAnswer = 'HTTP/1.1 404 Not Found\r\nConnection: close\r\n\r\n';
 const unauthorizedAnswer = 'HTTP/1.1 401 Unauthorized\r\nConnection: close\r\n\r\n';
 
 /** Accepts links from peers on an HTTP server's upgrade. */
@@ -38,6 +39,11 @@
     private readonly handlers: MeshServerHandlers,
   ) {
     server.on('upgrade', (request, socket, head) => {
+      if (request.url !== meshPath) {
+        handlers.onRejected(`unknown protocol "${request.url}"`);
+        socket.end(notFoundAnswer);
+        return;
+      }
       const [, candidate = ''] = bearer.exec(request.headers.authorization ?? '') ?? [];
       if (!this.token.matches(candidate)) {
         handlers.onRejected(`wrong credential from ${request.socket.remoteAddress}`);
--- a/packages/mesh/src/Message.ts
+++ b/packages/mesh/src/Message.ts
@@ -1,4 +1,4 @@
-import { pack, unpack } from 'msgpackr';
+import { Packr } from 'msgpackr';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { z } from 'zod';
@@ -59,13 +59,48 @@
 /** One frame between two instances. */
 export type Message = z.output<typeof messageSchema>;
 
+// Property names that both sides know, so that a digest does not carry them once a second. A change
+// of this list is a change of the protocol and needs a new `meshPath`.
+const sharedStructures = [
+  ['kind', 'digest'],
+  [
+    'instanceId',
+    'dataCentre',
+    'address',
+    'isLeaving',
+    'configurationRevision',
+    'planRevision',
+    'planConfirmedAt',
+    'services',
+    'endpoints',
+    'leavingEndpoints',
+    'sequence',
+    'peers',
+  ],
+  ['service', 'spareSlots'],
+  ['endpointId', 'inFlight'],
+  ['instanceId', 'dataCentre', 'address'],
+  ['kind', 'requestId', 'topic', 'body'],
+  ['kind', 'requestId', 'body'],
+];
+
+/** Path of the mesh on its listener; names the version of the protocol. */
+export const meshPath = '/mesh/1';
+
+function createPackr(): Packr {
+  return new Packr({
+    structures: structuredClone(sharedStructures) as never,
+    maxSharedStructures: sharedStructures.length,
+  });
+}
+
 export function encodeMessage(message: Message): Buffer {
-  return pack(message);
+  return createPackr().pack(message);
 }
 
 export function decodeMessage(frame: Uint8Array): Result<Message, MeshError> {
   try {
-    const checked = messageSchema.safeParse(unpack(frame));
+    const checked = messageSchema.safeParse(createPackr().unpack(frame));
     return checked.success ? ok(checked.data) : err(malformed(checked.error));
   } catch (cause) {
     return err(malformed(cause));
--- a/packages/mesh/src/PeerLink.ts
+++ b/packages/mesh/src/PeerLink.ts
@@ -5,7 +5,7 @@
 
 import { MeshError, MeshErrorKind } from './MeshError.js';
 import type { Message } from './Message.js';
-import { decodeMessage, encodeMessage, MessageKind } from './Message.js';
+import { decodeMessage, encodeMessage, meshPath, MessageKind } from './Message.js';
 
 /** Largest frame in bytes; a larger one closes the link. */
 export const maxFrameBytes = 2_000_000;
@@ -111,7 +111,7 @@
   }
 
   private dial(): void {
-    const socket = new WebSocket(`ws://${this.target.address}/mesh`, {
+    const socket = new WebSocket(`ws://${this.target.address}${meshPath}`, {
       headers: { authorization: `Bearer ${this.target.token.reveal()}` },
       handshakeTimeout: connectTimeoutMs,
       maxPayload: maxFrameBytes,
--- /dev/null
+++ b/packages/mesh/src/mesh.test.ts
@@ -0,0 +1,186 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import { delay, Secret, SystemClock } from '@apricothoist/common';
+import test from 'ava';
+import fc from 'fast-check';
+import { WebSocket } from 'ws';
+
+import { instanceChart, Membership, MemberState, suspectAfterMs } from './Membership.js';
+import { MeshNode } from './MeshNode.js';
+import type { Digest } from './Message.js';
+import { decodeMessage, encodeMessage, meshPath, MessageKind } from './Message.js';
+import { maxFrameBytes } from './PeerLink.js';
+
+const token = new Secret('mesh token');
+const clock = new SystemClock();
+
+const content = {
+  isLeaving: false,
+  configurationRevision: 3,
+  planRevision: 4,
+  planConfirmedAt: 5,
+  services: [],
+  endpoints: [],
+  leavingEndpoints: [],
+};
+
+function createDigest(instanceId: string, change: Partial<Digest> = {}): Digest {
+  const identity = { instanceId, dataCentre: 'a', address: `${instanceId}:1`, sequence: 1 };
+  return { ...identity, ...content, peers: [], ...change };
+}
+
+interface RunningNode extends AsyncDisposable {
+  readonly node: MeshNode;
+  readonly address: string;
+}
+
+async function startNode(instanceId: string, secret = token): Promise<RunningNode> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', () => resolve());
+  });
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const identity = { instanceId, dataCentre: 'a', address };
+  const node = new MeshNode(identity, secret, server, clock, () => content);
+  return {
+    node,
+    address,
+    [Symbol.asyncDispose]: async () => {
+      node[Symbol.dispose]();
+      server.close();
+    },
+  };
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await delay(10);
+  }
+}
+
+test('any bytes give a message or an error, never an exception', (t) => {
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 300 }), (bytes) => {
+      decodeMessage(bytes);
+    }),
+    { seed: 3, numRuns: 2_000 },
+  );
+  t.pass();
+});
+
+test('a digest survives the wire, and a damaged one is refused', (t) => {
+  const digest = createDigest('one');
+  const frame = encodeMessage({ kind: MessageKind.digest, digest });
+  t.deepEqual(decodeMessage(frame)._unsafeUnwrap(), { kind: MessageKind.digest, digest });
+  fc.assert(
+    fc.property(fc.nat(frame.length - 1), fc.integer({ min: 1, max: 255 }), (place, change) => {
+      const damaged = Buffer.from(frame);
+      damaged[place] = (damaged[place] ?? 0) ^ change;
+      decodeMessage(damaged);
+    }),
+    { seed: 4, numRuns: 1_000 },
+  );
+  const wrong = encodeMessage({ kind: 'digest', digest: { ...digest, sequence: -1 } } as never);
+  t.true(decodeMessage(wrong).isErr());
+});
+
+test('an instance goes from listed to alive to suspect and back', (t) => {
+  const members = new Membership('self');
+  members.updateListed([{ instanceId: 'one', dataCentre: 'a', address: 'one:1' }], 0);
+  t.is(members.get('one')?.state, MemberState.listed);
+  members.hear(createDigest('one'), 10);
+  t.is(members.get('one')?.state, MemberState.alive);
+  t.true(members.tick(10 + suspectAfterMs + 1));
+  t.is(members.get('one')?.state, MemberState.suspect);
+  members.hear(createDigest('one', { sequence: 2 }), 5_000);
+  t.is(members.get('one')?.state, MemberState.alive);
+});
+
+test('late and repeated digests are dropped', (t) => {
+  const members = new Membership('self');
+  t.true(members.hear(createDigest('one', { sequence: 5 }), 0));
+  t.false(members.hear(createDigest('one', { sequence: 5 }), 1));
+  t.false(members.hear(createDigest('one', { sequence: 4 }), 2));
+});
+
+test('an address that is used again belongs to the new instance alone', (t) => {
+  const members = new Membership('self');
+  members.hear(createDigest('old', { address: 'x:1' }), 0);
+  members.hear(createDigest('new', { address: 'x:1' }), 10);
+  t.is(members.get('old'), undefined);
+  members.introduceAll([{ instanceId: 'old', dataCentre: 'a', address: 'x:1' }], 20);
+  t.is(members.get('old'), undefined, 'a lagging peer must not bring it back');
+});
+
+test('a silent instance is kept while the platform lists it and dropped when it does not', (t) => {
+  const members = new Membership('self');
+  const listed = [{ instanceId: 'platform-name', dataCentre: 'a', address: 'one:1' }];
+  members.hear(createDigest('one'), 0);
+  members.tick(100_000);
+  members.updateListed(listed, 100_000);
+  t.truthy(members.get('one'));
+  members.updateListed([], 100_001);
+  t.is(members.get('one'), undefined);
+});
+
+test('every state of an instance answers every event', (t) => {
+  instanceChart.states.forEach((state) => {
+    instanceChart.events.forEach((event) => {
+      t.true(instanceChart.states.includes(instanceChart.next(state, event)));
+    });
+  });
+});
+
+test('two instances hear of each other, answer requests and stay within their bytes', async (t) => {
+  await using one = await startNode('one');
+  await using two = await startNode('two');
+  two.node.handle('double', async (body) => Number(body) * 2);
+  one.node.updateListed([{ instanceId: 'listed-two', dataCentre: 'a', address: two.address }]);
+  await until(() => one.node.membership.alive().length + two.node.membership.alive().length === 2);
+  let answer = await one.node.request('two', 'double', 21, clock.monotonic() + 2_000);
+  while (answer.isErr()) {
+    // The link of its own may still be opening when the peer has been heard of.
+    await delay(10);
+    answer = await one.node.request('two', 'double', 21, clock.monotonic() + 2_000);
+  }
+  t.is(answer.value, 42);
+  const before = one.node.traffic;
+  const startedAt = clock.monotonic();
+  await delay(2_100);
+  const seconds = (clock.monotonic() - startedAt) / 1_000;
+  const perSecond = (one.node.traffic.sent - before.sent) / seconds;
+  t.log(`${perSecond.toFixed(0)} bytes a second to one peer`);
+  t.true(perSecond > 0 && perSecond < 2_048);
+});
+
+test('a wrong credential opens no link', async (t) => {
+  await using one = await startNode('one');
+  await using two = await startNode('two', new Secret('another'));
+  const rejected: string[] = [];
+  two.node.onRejected((reason) => rejected.push(reason));
+  one.node.updateListed([{ instanceId: 'two', dataCentre: 'a', address: two.address }]);
+  await until(() => rejected.length > 0);
+  t.regex(rejected[0] ?? '', /wrong credential/);
+  t.false(rejected.join().includes('mesh token'));
+  t.is(two.node.membership.alive().length, 0);
+});
+
+test('malformed and oversized frames close the link with a reason', async (t) => {
+  await using one = await startNode('one');
+  const send = async (frame: Buffer): Promise<number> => {
+    const socket = new WebSocket(`ws://${one.address}${meshPath}`, {
+      headers: { authorization: `Bearer ${token.reveal()}` },
+    });
+    await new Promise((resolve) => {
+      socket.on('open', resolve);
+    });
+    socket.on('error', () => {});
+    socket.send(frame);
+    return new Promise((resolve) => {
+      socket.on('close', (code) => resolve(code));
+    });
+  };
+  t.is(await send(Buffer.from('nonsense')), 4_400);
+  t.is(await send(Buffer.alloc(maxFrameBytes + 1)), 1_009);
+});
--- a/packages/scheduler/src/PlacementRound.ts
+++ b/packages/scheduler/src/PlacementRound.ts
@@ -77,6 +77,9 @@
 
   private readonly blocked = new Set<string>();
 
+  /** Accounts that start nothing until a large job of theirs is within their limit. */
+  private readonly draining = new Set<string>();
+
   private search = new PlacementSearch([]);
 
   private isHolding = false;
@@ -141,8 +144,12 @@
 
   private placeEntry(entry: QueueEntry): void {
     const { job } = entry;
-    if (!this.isWithinLimit(job)) {
+    if (this.draining.has(job.account) || !this.isWithinLimit(job)) {
       this.explain(job, `account "${job.account}" is at its accelerator limit`);
+      // A large job that has waited long gets its account's next accelerators, not a smaller one.
+      if (entry.rank !== Rank.ordinary) {
+        this.draining.add(job.account);
+      }
       return;
     }
     const guarantee = this.guaranteeFor(job);
