--- /dev/null
+++ b/packages/daemon/src/CallerListener.test.ts
@@ -0,0 +1,235 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import { Random, Secret, SystemClock } from '@apricothoist/common';
+import type { Configuration } from '@apricothoist/config';
+import { ConfigurationBuilder, parseConfiguration } from '@apricothoist/config';
+import { ClaimResult } from '@apricothoist/router';
+import { EndpointServer } from '@apricothoist/testing';
+import test from 'ava';
+
+import { CallerListener } from './CallerListener.js';
+import { HttpEndpointSender } from './HttpEndpointSender.js';
+import { ServiceRouters } from './ServiceRouters.js';
+
+const clock = new SystemClock();
+const maxBodyBytes = 2_000;
+
+function createConfiguration(): Configuration {
+  const text = new ConfigurationBuilder({
+    name: 'test',
+    region: 'north',
+    dataCentres: ['a'],
+    completionWeight: 0.5,
+  })
+    .account('team', { weight: 1, requestLimit: 10, acceleratorLimit: 8 })
+    .service('service', {
+      endpointSlots: 4,
+      endpointConnections: 10,
+      maxBodyBytes,
+      maxHeaderBytes: 1_000,
+      timeoutMs: 400,
+      retryPercent: 100,
+    })
+    .print();
+  return parseConfiguration(text, 'test')._unsafeUnwrap();
+}
+
+interface Running extends AsyncDisposable {
+  readonly url: string;
+  readonly routers: ServiceRouters;
+  readonly rejected: string[];
+}
+
+async function start(addresses: readonly string[], hasTokens = false): Promise<Running> {
+  const routers = new ServiceRouters({
+    clock,
+    instanceId: 'one',
+    dataCentre: 'a',
+    seed: 1,
+    claims: { claim: async () => ClaimResult.granted, release: async () => {} },
+    peers: { forward: () => undefined },
+    createSender: () => new HttpEndpointSender('one', clock, 10, maxBodyBytes),
+  });
+  routers.configure(createConfiguration());
+  routers.updateListed(
+    addresses.map((address, index) => ({
+      id: `endpoint-${index}`,
+      role: 'endpoint' as const,
+      dataCentre: 'a',
+      address,
+      state: 'live' as const,
+      service: 'service',
+    })),
+  );
+  const callers = new Map(hasTokens ? [['team', new Secret('caller token')]] : []);
+  const listener = new CallerListener(routers, callers, clock);
+  const rejected: string[] = [];
+  listener.onRejected((from) => rejected.push(from));
+  const port = await listen(listener.server);
+  return {
+    url: `http://127.0.0.1:${port}/s/service/run`,
+    routers,
+    rejected,
+    [Symbol.asyncDispose]: async () => {
+      listener.server.closeAllConnections();
+      await listener[Symbol.asyncDispose]();
+      await routers[Symbol.asyncDispose]();
+    },
+  };
+}
+
+async function listen(server: Server): Promise<number> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', () => resolve());
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+async function startEndpoint(id: string, serviceMs = 5) {
+  const endpoint = new EndpointServer(id, 4, serviceMs);
+  const address = `127.0.0.1:${await endpoint.listen()}`;
+  return { endpoint, address, [Symbol.asyncDispose]: () => endpoint[Symbol.asyncDispose]() };
+}
+
+const headers = { 'apricothoist-account': 'team', 'x-request': 'one' };
+
+function post(url: string, body = 'hello', extra: Record<string, string> = {}): Promise<Response> {
+  return fetch(url, { method: 'POST', body, headers: { ...headers, ...extra } });
+}
+
+test('a request reaches an endpoint and its whole answer returns', async (t) => {
+  await using backend = await startEndpoint('e0');
+  await using entry = await start([backend.address]);
+  const answer = await post(entry.url);
+  t.is(answer.status, 200);
+  t.deepEqual(await answer.json(), { request: 'one', endpoint: 'e0', echo: 'hello' });
+});
+
+test('a truncated answer is never passed on as whole', async (t) => {
+  await using backend = await startEndpoint('e0');
+  backend.endpoint.behaviour.isTruncating = true;
+  await using entry = await start([backend.address]);
+  const answer = await post(entry.url);
+  t.is(answer.status, 502);
+  t.is(answer.headers.get('apricothoist-outcome'), 'unknown');
+});
+
+test('a late answer reaches nobody', async (t) => {
+  await using slow = await startEndpoint('slow', 600);
+  await using entry = await start([slow.address]);
+  const late = await post(entry.url, 'first', { 'x-request': 'first' });
+  t.is(late.headers.get('apricothoist-outcome'), 'unknown');
+  slow.endpoint.behaviour.serviceMs = 5;
+  const next = await post(entry.url, 'second', { 'x-request': 'second' });
+  const body = (await next.json()) as { request: string };
+  t.is(body.request, 'second');
+});
+
+test('an answer to another attempt is not passed on', async (t) => {
+  const server = createServer((_, response) => {
+    response.setHeader('apricothoist-attempt', 'someone-else.1');
+    response.end('crossed');
+  });
+  const port = await listen(server);
+  await using entry = await start([`127.0.0.1:${port}`]);
+  const answer = await post(entry.url);
+  t.is(answer.status, 502);
+  t.false((await answer.text()).includes('crossed'));
+  server.closeAllConnections();
+  server.close();
+});
+
+test('a silent connection is given up and the next request uses another one', async (t) => {
+  await using backend = await startEndpoint('e0');
+  backend.endpoint.behaviour.isSilent = true;
+  await using entry = await start([backend.address]);
+  t.is((await post(entry.url)).headers.get('apricothoist-outcome'), 'unknown');
+  backend.endpoint.behaviour.isSilent = false;
+  t.is((await post(entry.url)).status, 200);
+});
+
+test('a refusal says that nothing ran and when to come back', async (t) => {
+  await using entry = await start([]);
+  const startedAt = performance.now();
+  const answer = await post(entry.url);
+  t.is(answer.status, 503);
+  t.is(answer.headers.get('apricothoist-outcome'), 'not-run');
+  t.is(answer.headers.get('apricothoist-reason'), 'noEndpoint');
+  t.true(Number(answer.headers.get('retry-after')) >= 1);
+  t.true(performance.now() - startedAt < 2_000);
+});
+
+test('a dead endpoint counts as not run, and another one answers', async (t) => {
+  await using backend = await startEndpoint('e1');
+  await using entry = await start(['127.0.0.1:9', backend.address]);
+  for (let index = 0; index < 10; index += 1) {
+    t.is((await post(entry.url, 'x', { 'idempotency-key': `k${index}` })).status, 200);
+  }
+});
+
+test('an endpoint that says it is leaving gets no more work', async (t) => {
+  await using leaving = await startEndpoint('e0');
+  await using staying = await startEndpoint('e1');
+  leaving.endpoint.behaviour.isLeaving = true;
+  await using entry = await start([leaving.address, staying.address]);
+  const told: string[] = [];
+  entry.routers.onEndpointLeaving((id) => told.push(id));
+  for (let index = 0; index < 20; index += 1) {
+    t.is((await post(entry.url)).status, 200);
+  }
+  t.deepEqual(told, ['endpoint-0']);
+  t.is(leaving.endpoint.runs.size, 0);
+});
+
+test('oversized bodies and headers are refused', async (t) => {
+  await using backend = await startEndpoint('e0');
+  await using entry = await start([backend.address]);
+  t.is((await post(entry.url, 'x'.repeat(maxBodyBytes + 1))).status, 413);
+  t.is((await post(entry.url, 'x', { 'x-large': 'y'.repeat(2_000) })).status, 431);
+  t.is((await post(entry.url)).status, 200);
+});
+
+test('wrong header values are explained', async (t) => {
+  await using entry = await start([]);
+  for (const [name, value] of [
+    ['apricothoist-urgency', 'very'],
+    ['apricothoist-timeout-ms', '-5'],
+    ['apricothoist-idempotent', 'perhaps'],
+  ] as const) {
+    const answer = await post(entry.url, 'x', { [name]: value });
+    t.is(answer.status, 400);
+    t.regex(await answer.text(), new RegExp(name));
+  }
+});
+
+test('a caller needs its own credential, and refusals do not repeat it', async (t) => {
+  await using backend = await startEndpoint('e0');
+  await using entry = await start([backend.address], true);
+  const wrong = await post(entry.url, 'x', { authorization: 'Bearer wrong token' });
+  t.is(wrong.status, 401);
+  t.false((await wrong.text()).includes('wrong token'));
+  t.is(entry.rejected.length, 1);
+  const right = await post(entry.url, 'x', { authorization: 'Bearer caller token' });
+  t.is(right.status, 200);
+});
+
+test('an instance without a configuration says so', async (t) => {
+  const routers = new ServiceRouters({
+    clock,
+    instanceId: 'one',
+    dataCentre: 'a',
+    seed: new Random(1).below(10),
+    claims: { claim: async () => ClaimResult.granted, release: async () => {} },
+    peers: { forward: () => undefined },
+    createSender: () => new HttpEndpointSender('one', clock, 10, maxBodyBytes),
+  });
+  const listener = new CallerListener(routers, new Map(), clock);
+  const port = await listen(listener.server);
+  const answer = await post(`http://127.0.0.1:${port}/s/service/run`);
+  t.is(answer.status, 503);
+  t.is(answer.headers.get('apricothoist-reason'), 'notReady');
+  listener.server.closeAllConnections();
+  await listener[Symbol.asyncDispose]();
+});
--- /dev/null
+++ b/packages/daemon/src/daemon.test.ts
@@ -0,0 +1,324 @@
+import { readFileSync } from 'node:fs';
+
+import { Random } from '@apricothoist/common';
+import { Adjacency, ConfigurationBuilder, Urgency } from '@apricothoist/config';
+import { BudgetedStore } from '@apricothoist/platform';
+import { ClaimResult } from '@apricothoist/router';
+import { JobState, PlanChangeKind } from '@apricothoist/scheduler';
+import { ManualClock, MemoryStore } from '@apricothoist/testing';
+import test from 'ava';
+import fc from 'fast-check';
+
+import { ConfigurationKeeper } from './ConfigurationKeeper.js';
+import { ConfigurationStore, PublishErrorKind } from './ConfigurationStore.js';
+import { EventKinds } from './events.js';
+import { LeaderLease } from './LeaderLease.js';
+import { PlanKeeper } from './PlanKeeper.js';
+import { RenewalFence } from './RenewalFence.js';
+import { parseSettings } from './Settings.js';
+import { StoreClaims } from './StoreClaims.js';
+
+const limits = { callsPerSecond: 10_000, callTimeoutMs: 1_000 };
+
+function createStores(count: number) {
+  const clock = new ManualClock();
+  const memory = new MemoryStore(() => clock.wall());
+  const stores = Array.from(
+    { length: count },
+    (_, index) => new BudgetedStore(memory, clock, new Random(index), limits),
+  );
+  return { clock, memory, stores };
+}
+
+function createText(weight: number): string {
+  return new ConfigurationBuilder({
+    name: 'test',
+    region: 'north',
+    dataCentres: ['a'],
+    completionWeight: 0.5,
+  })
+    .account('team', { weight, requestLimit: 10, acceleratorLimit: 8 })
+    .print();
+}
+
+const proposal = (changeId: string, expectedRevision: number, weight: number) => ({
+  changeId,
+  expectedRevision,
+  text: createText(weight),
+  author: changeId,
+  reason: 'test',
+  at: 0,
+});
+
+const settings = `
+[instance]
+name = one
+data-centre = a
+[listeners]
+caller = 127.0.0.1:7001
+operator = 127.0.0.1:7002
+mesh = 127.0.0.1:7003
+[platform]
+store = http://127.0.0.1:2380
+instance-list = http://127.0.0.1:2381
+`;
+
+function settingsError(text: string): string {
+  const parsed = parseSettings(text, 'one.ini');
+  return parsed.isErr() ? parsed.error.message : '';
+}
+
+test('settings are checked and errors name the key', (t) => {
+  t.is(settingsError(settings), '');
+  t.is(
+    settingsError(settings.replace('name = one', 'name = one\ncolour = red')),
+    'one.ini: [instance] colour: unknown key',
+  );
+  t.is(settingsError(`${settings}[extra]\n`), 'one.ini: [extra]: unknown section');
+  t.is(settingsError(settings.replace('name = one\n', '')), 'one.ini: [instance] name: missing');
+  t.regex(settingsError(settings.replace('127.0.0.1:7001', 'localhost')), /\[listeners\] caller: /);
+  t.regex(
+    settingsError(settings.replace('[platform]', '[platform]\nlist-interval-ms = soon')),
+    /list-interval-ms: expected a whole number/,
+  );
+});
+
+test('a listener off loopback needs a token', (t) => {
+  t.is(
+    settingsError(settings.replace('127.0.0.1:7002', '10.0.0.1:7002')),
+    'one.ini: [listeners] operator: not on loopback, so [tokens] operator-file is needed',
+  );
+  const withToken = `${settings}[tokens]\noperator-file = token\n`;
+  t.is(settingsError(withToken.replace('127.0.0.1:7002', '10.0.0.1:7002')), '');
+});
+
+test('any text gives settings or an error, never an exception', (t) => {
+  const line = fc.oneof(fc.string(), fc.constantFrom('[listeners]', '[__proto__]', 'caller[] = x'));
+  fc.assert(
+    fc.property(fc.array(line), (lines) => {
+      parseSettings(lines.join('\n'), 'any');
+      parseSettings(settings + lines.join('\n'), 'any');
+    }),
+    { seed: 2, numRuns: 300 },
+  );
+  t.pass();
+});
+
+test('every log event is explained in the documentation, and no other', (t) => {
+  const page = readFileSync(new URL('../../../docs/EVENTS.md', import.meta.url), 'utf8');
+  const documented = [...page.matchAll(/^\| E(\d+) \| (\w+) \| ([^|]+) \|/gm)].map(
+    ([, code, level, text = '']) => `${code} ${level} ${text.trim()}`,
+  );
+  const kinds = Object.values(EventKinds);
+  t.deepEqual(
+    documented.sort(),
+    kinds.map(({ code, level, text }) => `${code} ${level} ${text}`).sort(),
+  );
+  t.is(new Set(kinds.map(({ code }) => code)).size, kinds.length);
+});
+
+test('of racing operators one wins, and the loser sees what won', async (t) => {
+  const { stores } = createStores(2);
+  const [first, second] = stores.map((store) => new ConfigurationStore(store));
+  const results = await Promise.all([
+    first?.publish(proposal('one', 0, 1)),
+    second?.publish(proposal('two', 0, 2)),
+  ]);
+  t.is(results.filter((result) => result?.isOk()).length, 1);
+  const lost = results.find((result) => result?.isErr());
+  const error = lost?._unsafeUnwrapErr();
+  t.is(error?.kind, PublishErrorKind.conflict);
+  t.is(error?.winners.length, 1);
+});
+
+test('a winning write whose answer was lost is known to have won, and is in the trail once', async (t) => {
+  const { memory, stores } = createStores(1);
+  const store = new ConfigurationStore(stores[0] as BudgetedStore);
+  memory.faults.lostAnswers = 2;
+  const published = await store.publish(proposal('one', 0, 1));
+  t.is(published._unsafeUnwrap().revision, 1);
+  const repeated = await store.publish(proposal('one', 0, 1));
+  t.is(repeated._unsafeUnwrap().revision, 1);
+  const trail = (await store.readTrail(0, 10))._unsafeUnwrap();
+  t.deepEqual(
+    trail.map((record) => record.changeId),
+    ['one'],
+  );
+});
+
+test('the audit trail neither loses nor doubles a change under races and lost answers', async (t) => {
+  const { memory, stores } = createStores(4);
+  const random = new Random(5);
+  const accepted: string[] = [];
+  const operators = stores.map((store) => new ConfigurationStore(store));
+  for (let turn = 0; turn < 30; turn += 1) {
+    memory.faults.lostAnswers = random.below(3);
+    await Promise.all(
+      operators.map(async (operator, index) => {
+        const head = (await operator.readHead())._unsafeUnwrap();
+        const id = `change-${turn}-${index}`;
+        const published = await operator.publish(proposal(id, head.revision, turn + 2));
+        if (published.isOk()) {
+          accepted.push(id);
+        }
+      }),
+    );
+  }
+  memory.faults.lostAnswers = 0;
+  const trail = (await operators[0]?.readTrail(0, 1_000))?._unsafeUnwrap() ?? [];
+  t.deepEqual(trail.map((record) => record.changeId).toReversed(), accepted);
+  t.deepEqual(
+    trail.map((record) => record.revision),
+    trail.map((_, index) => trail.length - index),
+  );
+});
+
+test('an invalid configuration is refused and changes nothing', async (t) => {
+  const { memory, stores } = createStores(1);
+  const store = new ConfigurationStore(stores[0] as BudgetedStore);
+  const refused = await store.publish({ ...proposal('one', 0, 1), text: '[deployment]\n' });
+  t.is(refused._unsafeUnwrapErr().kind, PublishErrorKind.invalid);
+  t.is(memory.writes, 0);
+});
+
+test('a configuration never goes back, and a damaged one is not taken over', async (t) => {
+  const { stores } = createStores(1);
+  const store = new ConfigurationStore(stores[0] as BudgetedStore);
+  const keeper = new ConfigurationKeeper(store);
+  const rejected: string[] = [];
+  keeper.onReject((reason) => rejected.push(reason));
+  const first = (await store.publish(proposal('one', 0, 1)))._unsafeUnwrap();
+  const second = (await store.publish(proposal('two', 1, 2)))._unsafeUnwrap();
+  keeper.offer(second);
+  keeper.offer(first);
+  t.is(keeper.revision, 2);
+  keeper.offer({ revision: 3, digest: first.digest, text: second.text });
+  t.is(keeper.revision, 2);
+  t.is(rejected.length, 1);
+});
+
+test('a stale read of the store does not take an instance back', async (t) => {
+  const { memory, stores } = createStores(1);
+  const store = new ConfigurationStore(stores[0] as BudgetedStore);
+  const keeper = new ConfigurationKeeper(store);
+  await store.publish(proposal('one', 0, 1));
+  await store.publish(proposal('two', 1, 2));
+  await keeper.refresh();
+  memory.faults.staleReads = 2;
+  await keeper.refresh();
+  t.is(keeper.revision, 2);
+});
+
+const ticket = {
+  id: 'ticket-1',
+  account: 'team',
+  service: 'service',
+  urgency: Urgency.normal,
+  isIdempotent: false,
+  key: 'key',
+  arrivedAt: 0,
+  deadline: 1_000,
+  isForwarded: false,
+};
+
+test('a key is granted to one request, at whatever instance', async (t) => {
+  const { stores, clock } = createStores(3);
+  const claims = stores.map((store, index) => new StoreClaims(store, clock, `instance-${index}`));
+  const results = await Promise.all(
+    claims.map((claim, index) => claim.claim({ ...ticket, id: `ticket-${index}` })),
+  );
+  t.is(results.filter((result) => result === ClaimResult.granted).length, 1);
+  t.is(results.filter((result) => result === ClaimResult.taken).length, 2);
+});
+
+test('a key stays taken after its instance died, and is free after it did not run', async (t) => {
+  const { stores, clock } = createStores(2);
+  const [first, second] = stores.map((store, index) => new StoreClaims(store, clock, `${index}`));
+  t.is(await first?.claim(ticket), ClaimResult.granted);
+  t.is(await second?.claim({ ...ticket, id: 'ticket-2' }), ClaimResult.taken);
+  await first?.release(ticket);
+  t.is(await second?.claim({ ...ticket, id: 'ticket-2' }), ClaimResult.granted);
+});
+
+test('no claim is granted during an outage, and a key is not lost by it', async (t) => {
+  const { memory, stores, clock } = createStores(1);
+  const claims = new StoreClaims(stores[0] as BudgetedStore, clock, 'one');
+  memory.faults.isDown = true;
+  t.is(await claims.claim(ticket), ClaimResult.unavailable);
+  memory.faults.isDown = false;
+  t.is(await claims.claim(ticket), ClaimResult.granted);
+});
+
+function createJob(id: string) {
+  return {
+    id,
+    name: id,
+    account: 'team',
+    shape: { workers: 1, acceleratorsPerWorker: 1, adjacency: Adjacency.any },
+    urgency: Urgency.normal,
+    declaredMs: 1_000,
+    submittedAt: 0,
+    state: JobState.queued,
+    queuedAt: 0,
+    attemptCount: 0,
+    checkpointMs: 0,
+    attainedMs: 0,
+    failedWorkers: [],
+    reason: '',
+  };
+}
+
+test('a burst of submissions shares writes', async (t) => {
+  const { memory, stores, clock } = createStores(1);
+  const keeper = new PlanKeeper(stores[0] as BudgetedStore, clock, 'a');
+  const ids = Array.from({ length: 300 }, (_, index) => `job-${index}`);
+  await Promise.all(
+    ids.map((id) => keeper.change({ kind: PlanChangeKind.submit, job: createJob(id) })),
+  );
+  t.is(keeper.current.jobs.length, 300);
+  t.true(memory.writes <= 3, `${memory.writes} writes`);
+});
+
+test('two instances that change a plan at the same time lose nothing', async (t) => {
+  const { memory, stores, clock } = createStores(2);
+  const keepers = stores.map((store) => new PlanKeeper(store, clock, 'a'));
+  memory.faults.lostAnswers = 1;
+  await Promise.all(
+    keepers.flatMap((keeper, index) =>
+      Array.from({ length: 5 }, (_, number) =>
+        keeper.change({ kind: PlanChangeKind.submit, job: createJob(`job-${index}-${number}`) }),
+      ),
+    ),
+  );
+  await keepers[0]?.refresh();
+  t.is(keepers[0]?.current.jobs.length, 10);
+});
+
+test('one instance holds the lease, and a paused holder does not rely on it', async (t) => {
+  const { stores, clock } = createStores(2);
+  const [first, second] = stores.map(
+    (store, index) => new LeaderLease(store, clock, 'a', `${index}`),
+  );
+  await first?.maintain();
+  await second?.maintain();
+  t.true(first?.isHeld);
+  t.false(second?.isHeld);
+  clock.advance(6_500);
+  t.false(first?.isHeld, 'after a pause longer than the lease');
+  await second?.maintain();
+  t.true(second?.isHeld);
+  await first?.maintain();
+  t.false(first?.isHeld);
+});
+
+test('the fence waits for every instance and for a lease', (t) => {
+  const clock = new ManualClock();
+  const fence = new RenewalFence(clock, 8_000);
+  fence.note([{ planRevision: 5, isHeard: true }], 6);
+  t.is(fence.revision(), -1);
+  clock.advance(8_000);
+  t.is(fence.revision(), 5);
+  fence.note([{ planRevision: 9, isHeard: false }], 9);
+  clock.advance(8_000);
+  t.is(fence.revision(), 5, 'an instance that is not heard of may still renew');
+});
