Real-process tests; claims leave half of the store budget to control

Cause: with kill -9 of the scheduling instance under keyed load a job never succeeded: claims of requests used up the instance's calls, so the other instance could neither take the lease nor write the plan. Seen by the new test (not within 100 s). What: work for requests leaves a reserve of the budget; a refused claim is refused at once. Ruled out: a larger budget (the platform's rates are shared by all instances).

--- a/packages/daemon/src/EntryCore.ts
+++ b/packages/daemon/src/EntryCore.ts
@@ -94,6 +94,7 @@
     this.random = random;
     this.store = new BudgetedStore(transport, clock, random, {
       callsPerSecond: settings.storeCallsPerSecond,
+      reservedPerSecond: settings.storeCallsPerSecond / 2,
       callTimeoutMs: settings.storeTimeoutMs,
     });
     this.configurationStore = new ConfigurationStore(this.store);
@@ -108,7 +109,7 @@
       instanceId,
       dataCentre,
       seed: random.below(2 ** 31),
-      claims: new StoreClaims(this.store, clock, instanceId),
+      claims: new StoreClaims(this.store.forRequests, clock, instanceId),
       peers: forwarder,
       createSender: services.createSender,
     });
--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -18,7 +18,7 @@
 import { parseSettings } from './Settings.js';
 import { StoreClaims } from './StoreClaims.js';
 
-const limits = { callsPerSecond: 10_000, callTimeoutMs: 1_000 };
+const limits = { callsPerSecond: 10_000, reservedPerSecond: 10, callTimeoutMs: 1_000 };
 
 function createStores(count: number) {
   const clock = new ManualClock();
--- a/packages/demo/src/Deployment.ts
+++ b/packages/demo/src/Deployment.ts
@@ -10,6 +10,7 @@
 import { Disposables } from '@apricothoist/common';
 import type { Configuration } from '@apricothoist/config';
 import type { ListedInstance } from '@apricothoist/platform';
+import { TcpRelay } from '@apricothoist/testing';
 
 import type { StandIn } from './DemoProcess.js';
 import { DemoProcess, startStandIn } from './DemoProcess.js';
@@ -54,10 +55,15 @@
 
   private rows: ListedInstance[] = [];
 
+  /** The way from each data centre to the store. */
+  public readonly storeRelays = new Map<string, TcpRelay>();
+
   private storePort = 0;
 
   private listPort = 0;
 
+  private readonly relayPorts = new Map<string, number>();
+
   private folder = '';
 
   private readonly owned = new Disposables();
@@ -74,6 +80,7 @@
     this.storePort = await this.startPlatform('store');
     this.listPort = await this.startPlatform('list');
     for (const dataCentre of this.options.dataCentres) {
+      await this.startRelay(dataCentre);
       await this.startWorkers(dataCentre);
       await this.startEndpoints(dataCentre);
     }
@@ -150,6 +157,12 @@
     return standIn.ports[0] ?? 0;
   }
 
+  private async startRelay(dataCentre: string): Promise<void> {
+    const relay = this.owned.register(new TcpRelay(this.storePort));
+    this.storeRelays.set(dataCentre, relay);
+    this.relayPorts.set(dataCentre, await relay.listen());
+  }
+
   private async startWorkers(dataCentre: string): Promise<void> {
     const pool = this.configuration.workers[dataCentre];
     if (pool === undefined) {
@@ -217,7 +230,7 @@
         `operator = 127.0.0.1:${operator}`,
         `mesh = 127.0.0.1:${mesh}`,
         '[platform]',
-        `store = http://127.0.0.1:${this.storePort}`,
+        `store = http://127.0.0.1:${this.relayPorts.get(dataCentre)}`,
         `instance-list = http://127.0.0.1:${this.listPort}`,
         '[log]',
         'format = json',
--- a/packages/demo/src/RequestLoad.ts
+++ b/packages/demo/src/RequestLoad.ts
@@ -22,6 +22,8 @@
 
   public wrongAnswers = 0;
 
+  private isStopped = false;
+
   public readonly latency = new LatencyHistogram();
 
   /** @param targets instances that the balancer uses; may be replaced while it runs */
@@ -30,11 +32,12 @@
     private readonly service: string,
     private readonly account: string,
     private readonly name = 'load',
+    private readonly hasKeys = false,
   ) {}
 
   public async run(count: number, concurrency: number): Promise<void> {
     const lanes = Array.from({ length: concurrency }, async () => {
-      while (this.sent < count) {
+      while (this.sent < count && !this.isStopped) {
         this.sent += 1;
         await this.sendOne(`${this.name}-${this.sent}`);
       }
@@ -42,13 +45,26 @@
     await Promise.all(lanes);
   }
 
+  /** Sends until `stop`; resolves when the last request has ended. */
+  public runUntilStopped(concurrency: number): Promise<void> {
+    return this.run(Infinity, concurrency);
+  }
+
+  public stop(): void {
+    this.isStopped = true;
+  }
+
   private async sendOne(request: string): Promise<void> {
     const target = this.targets[this.sent % this.targets.length];
     const startedAt = performance.now();
     try {
       const answer = await fetch(`${target?.callerUrl}/s/${this.service}/run`, {
         method: 'POST',
-        headers: { 'apricothoist-account': this.account, 'x-request': request },
+        headers: {
+          'apricothoist-account': this.account,
+          'x-request': request,
+          ...(this.hasKeys ? { 'idempotency-key': request } : {}),
+        },
         body: `body of ${request}`,
       });
       const text = await answer.text();
--- a/packages/platform/src/BudgetedStore.test.ts
+++ b/packages/platform/src/BudgetedStore.test.ts
@@ -8,7 +8,7 @@
 import { StoreErrorKind } from './StoreError.js';
 import { CallOutcome, StoreHealth, StoreState } from './StoreHealth.js';
 
-const limits = { callsPerSecond: 30, callTimeoutMs: 1_000 };
+const limits = { callsPerSecond: 30, reservedPerSecond: 10, callTimeoutMs: 1_000 };
 /** Rates of the platform's service, in calls a second. */
 const serviceReadsPerSecond = 2_000;
 
@@ -38,6 +38,17 @@
   t.is(memory.reads, limits.callsPerSecond);
 });
 
+test('a flood of claims leaves calls for control', async (t) => {
+  const { store } = createStore();
+  const claims = store.forRequests;
+  const results = [];
+  for (let index = 0; index < 100; index += 1) {
+    results.push(await claims.compareAndSwap(`claim-${index}`, absentVersion, 'x'));
+  }
+  t.is(results.filter((result) => result.isOk()).length, limits.callsPerSecond - 10);
+  t.true((await store.compareAndSwap('plan', absentVersion, 'x')).isOk());
+});
+
 test('concurrent reads of one key share a call', async (t) => {
   const { memory, store } = createStore();
   await Promise.all([store.read('key'), store.read('key'), store.read('key')]);
--- a/packages/platform/src/BudgetedStore.ts
+++ b/packages/platform/src/BudgetedStore.ts
@@ -12,6 +12,11 @@
 /** Limits of one instance's use of the store. */
 export interface StoreLimits {
   readonly callsPerSecond: number;
+  /**
+   * Calls a second that work for requests has to leave, so that a flood of requests cannot keep
+   * the instance from scheduling and from learning of changes.
+   */
+  readonly reservedPerSecond: number;
   /** Milliseconds after which a call is given up. */
   readonly callTimeoutMs: number;
 }
@@ -93,21 +98,50 @@
     });
   }
 
-  public async compareAndSwap<T>(
+  public compareAndSwap<T>(
     key: string,
     expected: number,
     data: T,
     expiresAt?: number,
+  ): Promise<Outcome<number>> {
+    return this.swap(key, expected, data, expiresAt, 0);
+  }
+
+  private async readUncached<T>(
+    key: string,
+    reserve: number,
+  ): Promise<Outcome<Versioned<T> | undefined>> {
+    const stored = await this.call((deadline) => this.transport.read(key, deadline), reserve);
+    return stored.andThen((value) => (value === undefined ? ok(undefined) : decode<T>(value)));
+  }
+
+  private async swap<T>(
+    key: string,
+    expected: number,
+    data: T,
+    expiresAt: number | undefined,
+    reserve: number,
   ): Promise<Outcome<number>> {
     const envelope: Envelope<T> = { writeId: createIdentifier(), data };
     const write = { key, expected, value: JSON.stringify(envelope), expiresAt };
-    const first = await this.call((deadline) => this.transport.write(write, deadline));
+    const first = await this.call((deadline) => this.transport.write(write, deadline), reserve);
     if (first.isOk() || first.error.kind !== StoreErrorKind.unknown) {
       return first;
     }
     return this.resolveWrite(write, envelope.writeId, first.error);
   }
 
+  /** The same store for work on behalf of requests: it leaves the reserved calls alone. */
+  public get forRequests(): Store {
+    const { reservedPerSecond } = this.limits;
+    return {
+      read: <T>(key: string) => this.readUncached<T>(key, reservedPerSecond),
+      list: <T>(prefix: string) => this.list<T>(prefix),
+      compareAndSwap: (key, expected, data, expiresAt) =>
+        this.swap(key, expected, data, expiresAt, reservedPerSecond),
+    };
+  }
+
   /** Takes one call from the budget for a watch, which the caller makes on its own connection. */
   public admitWatch(): boolean {
     const now = this.clock.monotonic();
@@ -163,12 +197,15 @@
     return started;
   }
 
-  private async call<T>(send: (deadline: number) => Promise<Outcome<T>>): Promise<Outcome<T>> {
+  private async call<T>(
+    send: (deadline: number) => Promise<Outcome<T>>,
+    reserve = 0,
+  ): Promise<Outcome<T>> {
     const now = this.clock.monotonic();
     if (!this.health.admit(now)) {
       return err(new StoreError(StoreErrorKind.unavailable, 'the store is down'));
     }
-    if (!this.budget.take(now)) {
+    if (!this.budget.take(now, reserve)) {
       return err(new StoreError(StoreErrorKind.overBudget, 'no store calls left in this second'));
     }
     this.calls += 1;
--- a/packages/platform/src/CallBudget.ts
+++ b/packages/platform/src/CallBudget.ts
@@ -12,10 +12,10 @@
     this.refilledAt = now;
   }
 
-  /** Takes one call; false when none is left. */
-  public take(now: number): boolean {
+  /** Takes one call; false when no more than `reserve` are left. */
+  public take(now: number, reserve = 0): boolean {
     this.refill(now);
-    if (this.available < 1) {
+    if (this.available < 1 + reserve) {
       return false;
     }
     this.available -= 1;
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -13,3 +13,4 @@
 export type { StandInOptions, StandInReady } from './standIn.js';
 export { canPlaceTogether } from './gangOracle.js';
 export type { OracleGang } from './gangOracle.js';
+export { RelayMode, TcpRelay } from './TcpRelay.js';
