--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 
+import { runCapacityBench } from './capacity/capacityBench.js';
 import { runRouterBench } from './router/routerBench.js';
 import { runSchedulerBench } from './scheduler/schedulerBench.js';
 
@@ -9,6 +10,7 @@
 const benches: Readonly<Record<string, Bench>> = {
   router: runRouterBench,
   scheduler: runSchedulerBench,
+  capacity: runCapacityBench,
 };
 
 function print(text: string): void {
--- a/packages/bench/src/scheduler/SchedulerReplay.ts
+++ b/packages/bench/src/scheduler/SchedulerReplay.ts
@@ -1,10 +1,11 @@
 import type { Configuration } from '@apricothoist/config';
-import type { Attempt, Job, Plan, WorkerObservation, WorkerView } from '@apricothoist/scheduler';
+import type { Attempt, Plan, WorkerObservation, WorkerView } from '@apricothoist/scheduler';
 import {
   applyChanges,
   assignmentsOf,
   AttemptState,
   Capacity,
+  createJob,
   createPlan,
   guaranteesOf,
   JobState,
@@ -115,7 +116,7 @@
     if (due.length === 0) {
       return;
     }
-    const changes = due.map((job) => ({ kind: PlanChangeKind.submit, job: toJob(job, now) }));
+    const changes = due.map((job) => ({ kind: PlanChangeKind.submit, job: createJob(job, now) }));
     this.plan = applyChanges(this.plan, changes, now) ?? this.plan;
   }
 
@@ -266,24 +267,3 @@
     };
   }
 }
-
-function toJob(listed: ListedJob, now: number): Job {
-  const { id, name, account, shape, urgency, declaredMs, finishBy } = listed;
-  return {
-    id,
-    name,
-    account,
-    shape,
-    urgency,
-    declaredMs,
-    submittedAt: now,
-    finishBy,
-    state: JobState.queued,
-    queuedAt: now,
-    attemptCount: 0,
-    checkpointMs: 0,
-    attainedMs: 0,
-    failedWorkers: [],
-    reason: '',
-  };
-}
--- a/packages/bench/src/scheduler/decisionCost.ts
+++ b/packages/bench/src/scheduler/decisionCost.ts
@@ -1,9 +1,9 @@
 import { Adjacency, ConfigurationBuilder, parseConfiguration } from '@apricothoist/config';
-import type { Job, Plan, WorkerView } from '@apricothoist/scheduler';
+import type { Plan, WorkerView } from '@apricothoist/scheduler';
 import {
   applyChanges,
+  createJob,
   createPlan,
-  JobState,
   PlanChangeKind,
   Scheduler,
 } from '@apricothoist/scheduler';
@@ -77,22 +77,17 @@
 
 function submission(id: string, account: string, workers: number, isAdjacent: boolean) {
   const adjacency = isAdjacent ? Adjacency.rack : Adjacency.any;
-  const job: Job = {
-    id,
-    name: account,
-    account,
-    shape: { workers, acceleratorsPerWorker, adjacency },
-    urgency: 'normal',
-    declaredMs: 3_600_000,
-    submittedAt: 0,
-    state: JobState.queued,
-    queuedAt: 0,
-    attemptCount: 0,
-    checkpointMs: 0,
-    attainedMs: 0,
-    failedWorkers: [],
-    reason: '',
-  };
+  const job = createJob(
+    {
+      id,
+      name: account,
+      account,
+      shape: { workers, acceleratorsPerWorker, adjacency },
+      urgency: 'normal',
+      declaredMs: 3_600_000,
+    },
+    0,
+  );
   return { kind: PlanChangeKind.submit, job };
 }
 
--- a/packages/daemon/src/OperatorApi.ts
+++ b/packages/daemon/src/OperatorApi.ts
@@ -3,8 +3,7 @@
 import type { Clock } from '@apricothoist/common';
 import { messageOf } from '@apricothoist/common';
 import { Urgency } from '@apricothoist/config';
-import type { Job } from '@apricothoist/scheduler';
-import { findImpossibility, JobState, PlanChangeKind, shapeSchema } from '@apricothoist/scheduler';
+import { createJob, findImpossibility, PlanChangeKind, shapeSchema } from '@apricothoist/scheduler';
 import { z } from 'zod';
 
 import type { ConfigurationKeeper } from './ConfigurationKeeper.js';
@@ -161,14 +160,13 @@
   }
 
   private async submitJob(input: unknown): Promise<ApiAnswer> {
-    const wanted = submitSchema.parse(input);
-    const { dataCentre } = wanted;
+    const { dataCentre, jobId, ...wanted } = submitSchema.parse(input);
     const plan = this.services.planOf(dataCentre);
     const active = this.services.configurations.current;
     if (plan === undefined || active === undefined) {
       return { status: 404, body: { message: `data centre "${dataCentre}" is not configured` } };
     }
-    const job = this.createJob(wanted);
+    const job = createJob({ id: jobId, ...wanted }, this.services.clock.wall());
     const impossibility = findImpossibility(job, active.configuration, dataCentre);
     if (impossibility !== undefined) {
       return { status: 422, body: { message: `the job can never run: ${impossibility}` } };
@@ -184,28 +182,6 @@
     );
   }
 
-  private createJob(wanted: z.output<typeof submitSchema>): Job {
-    const now = this.services.clock.wall();
-    const { jobId, name, account, shape, urgency, declaredMs, finishBy } = wanted;
-    return {
-      id: jobId,
-      name,
-      account,
-      shape,
-      urgency,
-      declaredMs,
-      submittedAt: now,
-      finishBy,
-      state: JobState.queued,
-      queuedAt: now,
-      attemptCount: 0,
-      checkpointMs: 0,
-      attainedMs: 0,
-      failedWorkers: [],
-      reason: 'submitted',
-    };
-  }
-
   private async cancelJobs(input: unknown): Promise<ApiAnswer> {
     const { dataCentre, jobIds } = cancelSchema.parse(input);
     const plan = this.services.planOf(dataCentre);
--- a/packages/daemon/src/PlanRunner.ts
+++ b/packages/daemon/src/PlanRunner.ts
@@ -1,6 +1,7 @@
 import type { Clock, Event } from '@apricothoist/common';
 import { Emitter, PeriodicTask } from '@apricothoist/common';
 import type { GuaranteeUnit, Plan, Scheduler } from '@apricothoist/scheduler';
+import { AttemptState } from '@apricothoist/scheduler';
 
 import type { ConfigurationKeeper } from './ConfigurationKeeper.js';
 import type { LeaderLease } from './LeaderLease.js';
@@ -23,7 +24,10 @@
   readonly mayRenewInOutage: () => boolean;
 }
 
-const stepIntervalMs = 250;
+/** Interval in milliseconds of steps while attempts change, which have deadlines. */
+const busyStepMs = 100;
+/** The same while all attempts run; reports and changes wake the runner besides. */
+const calmStepMs = 1_000;
 /** Milliseconds that a new leader waits for the workers' first reports. */
 const rebuildLimitMs = 3_000;
 /** Milliseconds for which tasks are renewed without word from the store. */
@@ -59,7 +63,7 @@
   ) {
     this.task = new PeriodicTask(
       () => this.step(),
-      () => stepIntervalMs,
+      () => (this.isChanging ? busyStepMs : calmStepMs),
       onError,
     );
     services.gateway.onReport(() => this.task.wake());
@@ -89,6 +93,11 @@
     this.failed[Symbol.dispose]();
   }
 
+  private get isChanging(): boolean {
+    const { attempts } = this.services.plans.current;
+    return attempts.some((attempt) => attempt.state !== AttemptState.running);
+  }
+
   private async step(): Promise<void> {
     const { lease, gateway, configurations } = this.services;
     if (configurations.current === undefined) {
--- a/packages/daemon/src/WorkerGateway.ts
+++ b/packages/daemon/src/WorkerGateway.ts
@@ -28,7 +28,7 @@
 /** Pause in milliseconds while a task on the worker is about to change. */
 const changingPollMs = 100;
 const callTimeoutMs = 1_000;
-const tickMs = 50;
+const tickMs = 100;
 /** Reads of the instance list without a worker before it counts as gone. */
 const readsUntilGone = 2;
 
@@ -66,6 +66,8 @@
 
   private plannedRevision = -1;
 
+  private observed: Observations | undefined;
+
   public constructor(
     private readonly client: WorkerClient,
     private readonly plans: PlanSource,
@@ -159,6 +161,7 @@
   }
 
   private tick(): void {
+    this.observed = undefined;
     this.refreshPlanned();
     const now = this.clock.monotonic();
     this.entries.forEach((entry) => {
@@ -170,6 +173,12 @@
     });
   }
 
+  /** What is known of all workers, put together once for all calls of one turn. */
+  private get currentObservations(): Observations {
+    this.observed ??= new Map([...this.entries].map(([id, entry]) => [id, entry.observation]));
+    return this.observed;
+  }
+
   private refreshPlanned(): void {
     const plan = this.plans.current;
     if (plan.revision !== this.plannedRevision) {
@@ -235,7 +244,9 @@
   }
 
   private leaseFor(attempt: Attempt, now: number): number {
-    return isRenewable(attempt, this.observations, now - lostAfterMs) ? now + taskLeaseMs : 0;
+    return isRenewable(attempt, this.currentObservations, now - lostAfterMs)
+      ? now + taskLeaseMs
+      : 0;
   }
 
   private pauseFor(workerId: string): number {
--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -4,7 +4,7 @@
 import { Adjacency, ConfigurationBuilder, Urgency } from '@apricothoist/config';
 import { BudgetedStore } from '@apricothoist/platform';
 import { ClaimResult } from '@apricothoist/router';
-import { JobState, PlanChangeKind } from '@apricothoist/scheduler';
+import { createJob, PlanChangeKind } from '@apricothoist/scheduler';
 import { ManualClock, MemoryStore } from '@apricothoist/testing';
 import test from 'ava';
 import fc from 'fast-check';
@@ -249,23 +249,10 @@
   t.is(await claims.claim(ticket), ClaimResult.granted);
 });
 
-function createJob(id: string) {
-  return {
-    id,
-    name: id,
-    account: 'team',
-    shape: { workers: 1, acceleratorsPerWorker: 1, adjacency: Adjacency.any },
-    urgency: Urgency.normal,
-    declaredMs: 1_000,
-    submittedAt: 0,
-    state: JobState.queued,
-    queuedAt: 0,
-    attemptCount: 0,
-    checkpointMs: 0,
-    attainedMs: 0,
-    failedWorkers: [],
-    reason: '',
-  };
+function createSmallJob(id: string) {
+  const shape = { workers: 1, acceleratorsPerWorker: 1, adjacency: Adjacency.any };
+  const request = { id, name: id, account: 'team', shape, urgency: Urgency.normal };
+  return createJob({ ...request, declaredMs: 1_000 }, 0);
 }
 
 test('a burst of submissions shares writes', async (t) => {
@@ -273,7 +260,7 @@
   const keeper = new PlanKeeper(stores[0] as BudgetedStore, clock, 'a');
   const ids = Array.from({ length: 300 }, (_, index) => `job-${index}`);
   await Promise.all(
-    ids.map((id) => keeper.change({ kind: PlanChangeKind.submit, job: createJob(id) })),
+    ids.map((id) => keeper.change({ kind: PlanChangeKind.submit, job: createSmallJob(id) })),
   );
   t.is(keeper.current.jobs.length, 300);
   t.true(memory.writes <= 3, `${memory.writes} writes`);
@@ -286,7 +273,10 @@
   await Promise.all(
     keepers.flatMap((keeper, index) =>
       Array.from({ length: 5 }, (_, number) =>
-        keeper.change({ kind: PlanChangeKind.submit, job: createJob(`job-${index}-${number}`) }),
+        keeper.change({
+          kind: PlanChangeKind.submit,
+          job: createSmallJob(`job-${index}-${number}`),
+        }),
       ),
     ),
   );
--- a/packages/faults/src/VirtualMesh.ts
+++ b/packages/faults/src/VirtualMesh.ts
@@ -9,7 +9,7 @@
   PeerAddress,
   RequestHandler,
 } from '@apricothoist/mesh';
-import { MeshError, MeshErrorKind, Membership } from '@apricothoist/mesh';
+import { isDigestDue, Membership, MeshError, MeshErrorKind } from '@apricothoist/mesh';
 import type { Result } from 'neverthrow';
 
 import type { VirtualNetwork } from './VirtualNetwork.js';
@@ -42,6 +42,8 @@
 
   private sequence = 0;
 
+  private rounds = 0;
+
   /** @param directory the meshes of all instances by address */
   public constructor(
     private readonly identity: MeshIdentity,
@@ -50,7 +52,7 @@
     private readonly directory: Map<string, VirtualMesh>,
     private readonly now: () => number,
   ) {
-    this.membership = new Membership(identity.instanceId);
+    this.membership = new Membership(identity.instanceId, identity.dataCentre);
     directory.set(identity.address, this);
     this.timer = setInterval(() => this.tick(), digestIntervalMs);
   }
@@ -97,7 +99,10 @@
     if (this.membership.tick(this.now())) {
       this.membersChanged.fire();
     }
-    this.announce();
+    this.rounds += 1;
+    this.membership.all
+      .filter((member) => isDigestDue(this.rounds, member.dataCentre === this.identity.dataCentre))
+      .forEach((member) => this.post(member));
   }
 
   private post(peer: PeerAddress): void {
--- a/packages/faults/src/VirtualWorld.ts
+++ b/packages/faults/src/VirtualWorld.ts
@@ -4,8 +4,8 @@
 import type { EntryCore } from '@apricothoist/daemon/core';
 import { planPrefix } from '@apricothoist/daemon/core';
 import type { ListedInstance } from '@apricothoist/platform';
-import type { Job, Plan, Shape } from '@apricothoist/scheduler';
-import { JobState, PlanChangeKind } from '@apricothoist/scheduler';
+import type { JobState, Plan, Shape } from '@apricothoist/scheduler';
+import { createJob, PlanChangeKind } from '@apricothoist/scheduler';
 import { MemoryStore, WorkerModel } from '@apricothoist/testing';
 import { install } from '@sinonjs/fake-timers';
 
@@ -296,7 +296,10 @@
   ): Promise<boolean> {
     const written = await from?.core.configuredPlanOf('a')?.change({
       kind: PlanChangeKind.submit,
-      job: this.createJob(id, account, shape),
+      job: createJob(
+        { id, name: id, account, shape, urgency: 'normal', declaredMs: minuteMs },
+        this.now,
+      ),
     });
     return written?.isOk() === true;
   }
@@ -372,25 +375,6 @@
     }
   }
 
-  private createJob(id: string, account: string, shape: Shape): Job {
-    return {
-      id,
-      name: id,
-      account,
-      shape,
-      urgency: 'normal',
-      declaredMs: minuteMs,
-      submittedAt: this.now,
-      state: JobState.queued,
-      queuedAt: this.now,
-      attemptCount: 0,
-      checkpointMs: 0,
-      attainedMs: 0,
-      failedWorkers: [],
-      reason: '',
-    };
-  }
-
   private changeRows(change: (rows: ListedInstance[]) => ListedInstance[]): void {
     this.rows = change(this.rows);
     this.rowHistory.push({ at: this.now, rows: this.rows });
--- a/packages/mesh/src/Membership.ts
+++ b/packages/mesh/src/Membership.ts
@@ -43,6 +43,8 @@
 
 /** Silence in milliseconds after which an instance is not counted on. */
 export const suspectAfterMs = 3_500;
+/** The same for instances of other data centres, which send digests less often. */
+const remoteSuspectAfterMs = 13_000;
 /** Silence in milliseconds after which an instance that the platform does not list is dropped. */
 const forgetAfterMs = 30_000;
 /** Identifiers of instances that are gone, kept so that a lagging list does not bring them back. */
@@ -57,7 +59,10 @@
 
   private readonly tombstones = new Set<string>();
 
-  public constructor(private readonly ownId: string) {}
+  public constructor(
+    private readonly ownId: string,
+    private readonly ownDataCentre: string,
+  ) {}
 
   public get all(): Member[] {
     return [...this.members.values()];
@@ -124,11 +129,15 @@
   /** Notes silences. Returns whether an instance has become suspect. */
   public tick(now: number): boolean {
     return this.all
-      .filter((member) => now - member.heardAt > suspectAfterMs)
+      .filter((member) => now - member.heardAt > this.suspectAfter(member))
       .map((member) => this.apply(member.instanceId, MemberEvent.silent))
       .some((isChanged) => isChanged);
   }
 
+  private suspectAfter(member: Member): number {
+    return member.dataCentre === this.ownDataCentre ? suspectAfterMs : remoteSuspectAfterMs;
+  }
+
   private introduce(peer: PeerAddress, now: number): boolean {
     const isKnown = this.members.has(peer.instanceId) || this.tombstones.has(peer.instanceId);
     if (peer.instanceId === this.ownId || isKnown) {
--- a/packages/mesh/src/Mesh.ts
+++ b/packages/mesh/src/Mesh.ts
@@ -54,3 +54,11 @@
     deadline: number,
   ): Promise<Result<unknown, MeshError>>;
 }
+
+/** Rounds of one second between two digests to an instance of another data centre. */
+const remoteDigestRounds = 4;
+
+/** Whether a digest is due in this round. Instances of other data centres hear less often. */
+export function isDigestDue(round: number, isSameDataCentre: boolean): boolean {
+  return isSameDataCentre || round % remoteDigestRounds === 0;
+}
--- a/packages/mesh/src/MeshNode.ts
+++ b/packages/mesh/src/MeshNode.ts
@@ -7,6 +7,7 @@
 
 import { Membership } from './Membership.js';
 import type { Describe, Mesh, MeshIdentity, MeshTraffic, RequestHandler } from './Mesh.js';
+import { isDigestDue } from './Mesh.js';
 import { MeshError, MeshErrorKind } from './MeshError.js';
 import { MeshServer } from './MeshServer.js';
 import type { Digest, PeerAddress } from './Message.js';
@@ -15,7 +16,7 @@
 
 const digestIntervalMs = 1_000;
 /** Every so many digests the known instances are sent along. */
-const introductionInterval = 10;
+const introductionInterval = 32;
 
 /** One instance's place in the mesh: a link to every known peer, and digests once a second. */
 export class MeshNode implements Mesh {
@@ -56,7 +57,7 @@
     private readonly clock: Clock,
     private readonly describe: Describe,
   ) {
-    this.membership = new Membership(identity.instanceId);
+    this.membership = new Membership(identity.instanceId, identity.dataCentre);
     this.server = new MeshServer(server, token, {
       onDigest: (digest) => this.hear(digest),
       onRejected: (reason) => this.rejected.fire(reason),
@@ -76,9 +77,7 @@
   }
 
   public announce(): void {
-    this.rounds += 1;
-    const hasPeers = this.rounds % introductionInterval === 0;
-    this.links.forEach((link, instanceId) => this.sendDigest(instanceId, link, hasPeers));
+    this.links.forEach((link, instanceId) => this.sendDigest(instanceId, link, false));
   }
 
   public request(
@@ -125,7 +124,14 @@
     if (hasSilence) {
       this.membersChanged.fire();
     }
-    this.announce();
+    this.rounds += 1;
+    const hasPeers = this.rounds % introductionInterval === 0;
+    this.links.forEach((link, instanceId) => {
+      const dataCentre = this.membership.get(instanceId)?.dataCentre;
+      if (isDigestDue(this.rounds, dataCentre === this.identity.dataCentre)) {
+        this.sendDigest(instanceId, link, hasPeers);
+      }
+    });
   }
 
   private hear(digest: Digest): void {
--- a/packages/mesh/src/Message.ts
+++ b/packages/mesh/src/Message.ts
@@ -89,7 +89,7 @@
 
 function createPackr(): Packr {
   return new Packr({
-    structures: structuredClone(sharedStructures) as never,
+    structures: structuredClone(sharedStructures),
     maxSharedStructures: sharedStructures.length,
   });
 }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -13,6 +13,7 @@
 export { maxFrameBytes, PeerLink } from './PeerLink.js';
 export { MeshServer } from './MeshServer.js';
 export { MeshNode } from './MeshNode.js';
+export { isDigestDue } from './Mesh.js';
 export type {
   Describe,
   DigestContent,
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -76,7 +76,7 @@
   fc.assert(
     fc.property(fc.nat(frame.length - 1), fc.integer({ min: 1, max: 255 }), (place, change) => {
       const damaged = Buffer.from(frame);
-      damaged[place] = (damaged[place] ?? 0) ^ change;
+      damaged[place] = ((damaged[place] ?? 0) + change) % 256;
       decodeMessage(damaged);
     }),
     { seed: 4, numRuns: 1_000 },
@@ -86,7 +86,7 @@
 });
 
 test('an instance goes from listed to alive to suspect and back', (t) => {
-  const members = new Membership('self');
+  const members = new Membership('self', 'a');
   members.updateListed([{ instanceId: 'one', dataCentre: 'a', address: 'one:1' }], 0);
   t.is(members.get('one')?.state, MemberState.listed);
   members.hear(createDigest('one'), 10);
@@ -98,14 +98,14 @@
 });
 
 test('late and repeated digests are dropped', (t) => {
-  const members = new Membership('self');
+  const members = new Membership('self', 'a');
   t.true(members.hear(createDigest('one', { sequence: 5 }), 0));
   t.false(members.hear(createDigest('one', { sequence: 5 }), 1));
   t.false(members.hear(createDigest('one', { sequence: 4 }), 2));
 });
 
 test('an address that is used again belongs to the new instance alone', (t) => {
-  const members = new Membership('self');
+  const members = new Membership('self', 'a');
   members.hear(createDigest('old', { address: 'x:1' }), 0);
   members.hear(createDigest('new', { address: 'x:1' }), 10);
   t.is(members.get('old'), undefined);
@@ -114,7 +114,7 @@
 });
 
 test('a silent instance is kept while the platform lists it and dropped when it does not', (t) => {
-  const members = new Membership('self');
+  const members = new Membership('self', 'a');
   const listed = [{ instanceId: 'platform-name', dataCentre: 'a', address: 'one:1' }];
   members.hear(createDigest('one'), 0);
   members.tick(100_000);
--- a/packages/scheduler/src/GuaranteeWitness.ts
+++ b/packages/scheduler/src/GuaranteeWitness.ts
@@ -1,6 +1,7 @@
 import { Adjacency } from '@apricothoist/config';
 
 import type { Capacity, WorkerShare } from './Capacity.js';
+import { fillInOrder } from './fillInOrder.js';
 import type { Shape } from './Plan.js';
 import { acceleratorsOf } from './Plan.js';
 
@@ -174,15 +175,5 @@
         capacity.freeOf(left) - capacity.freeOf(right) ||
         left - right,
     );
-  const shares: WorkerShare[] = [];
-  let missing = shape.workers;
-  for (const worker of suitable) {
-    if (missing === 0) {
-      break;
-    }
-    const tasks = Math.min(missing, Math.floor(capacity.freeOf(worker) / per));
-    shares.push({ worker, tasks });
-    missing -= tasks;
-  }
-  return shares;
+  return fillInOrder(capacity, suitable, shape);
 }
--- a/packages/scheduler/src/Plan.ts
+++ b/packages/scheduler/src/Plan.ts
@@ -113,6 +113,27 @@
   return { dataCentre, revision: 0, jobs: [], attempts: [], workers: [], estimates: [] };
 }
 
+/** What is said about a job when it is submitted. */
+export type JobRequest = Pick<
+  Job,
+  'id' | 'name' | 'account' | 'shape' | 'urgency' | 'declaredMs' | 'finishBy'
+>;
+
+/** A job as it enters the queue. */
+export function createJob(request: JobRequest, now: number): Job {
+  return {
+    ...request,
+    submittedAt: now,
+    state: JobState.queued,
+    queuedAt: now,
+    attemptCount: 0,
+    checkpointMs: 0,
+    attainedMs: 0,
+    failedWorkers: [],
+    reason: 'submitted',
+  };
+}
+
 /** Accelerators of a whole gang. */
 export function acceleratorsOf(shape: Shape): number {
   return shape.workers * shape.acceleratorsPerWorker;
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,11 +1,19 @@
 /** Scheduling decisions for the workers of one data centre, free of I/O. */
 export { Scheduler } from './Scheduler.js';
 export type { SchedulerDecision, SchedulerInput } from './Scheduler.js';
-export { acceleratorsOf, createPlan, fitsInside, planSchema, shapeSchema } from './Plan.js';
+export {
+  acceleratorsOf,
+  createJob,
+  createPlan,
+  fitsInside,
+  planSchema,
+  shapeSchema,
+} from './Plan.js';
 export type {
   Attempt,
   EstimateRecord,
   Job,
+  JobRequest,
   PlacedTask,
   Plan,
   Shape,
--- a/packages/scheduler/src/observe.ts
+++ b/packages/scheduler/src/observe.ts
@@ -105,18 +105,13 @@
   observations: Observations,
   limits: ObservationLimits,
 ): void {
-  const attempt = required(draft, attemptId);
-  if (noteFailures(draft, attempt, observations, limits.now)) {
-    return;
-  }
-  const tasks = markFinished(draft, attempt, observations);
-  if (tasks.every((task) => task.isFinished)) {
-    draft.advanceAttempt(attemptId, AttemptEvent.finished, { outcome: 'succeed' });
+  if (noteEnd(draft, attemptId, observations, limits.now)) {
     return;
   }
-  const isLost = tasks.some((task) => isTaskLost(task, attempt, observations, limits));
+  const attempt = required(draft, attemptId);
+  const isLost = attempt.tasks.some((task) => isTaskLost(task, attempt, observations, limits));
   if (isLost) {
-    leave(draft, required(draft, attemptId), AttemptEvent.lost, limits.now);
+    leave(draft, attempt, AttemptEvent.lost, limits.now);
   }
 }
 
@@ -126,26 +121,36 @@
   observations: Observations,
   limits: ObservationLimits,
 ): void {
-  const attempt = required(draft, attemptId);
-  if (noteFailures(draft, attempt, observations, limits.now)) {
+  if (noteEnd(draft, attemptId, observations, limits.now)) {
     return;
   }
-  const tasks = markFinished(draft, attempt, observations);
-  if (tasks.every((task) => task.isFinished)) {
-    draft.advanceAttempt(attemptId, AttemptEvent.finished, { outcome: 'succeed' });
-    return;
-  }
-  const hasStopped = tasks.every((task) => {
-    const { state } = stateOf(task, attempt, observations);
-    return task.isFinished || state === 'stopped';
-  });
+  const attempt = required(draft, attemptId);
+  const hasStopped = attempt.tasks.every(
+    (task) => task.isFinished || stateOf(task, attempt, observations).state === 'stopped',
+  );
   if (hasStopped) {
     draft.advanceAttempt(attemptId, AttemptEvent.stopped);
-    return;
+  } else if (limits.now >= (attempt.stopBy ?? 0)) {
+    leave(draft, attempt, AttemptEvent.expired, limits.now);
   }
-  if (limits.now >= (attempt.stopBy ?? 0)) {
-    leave(draft, required(draft, attemptId), AttemptEvent.expired, limits.now);
+}
+
+// Notes failed and finished tasks. Returns whether the attempt has ended by that.
+function noteEnd(
+  draft: PlanDraft,
+  attemptId: string,
+  observations: Observations,
+  now: number,
+): boolean {
+  if (noteFailures(draft, required(draft, attemptId), observations, now)) {
+    return true;
+  }
+  const tasks = markFinished(draft, required(draft, attemptId), observations);
+  const isFinished = tasks.every((task) => task.isFinished);
+  if (isFinished) {
+    draft.advanceAttempt(attemptId, AttemptEvent.finished, { outcome: 'succeed' });
   }
+  return isFinished;
 }
 
 // A part counts as stopped when its worker has accepted a plan without it and does not list it
--- a/packages/scheduler/src/scheduler.test.ts
+++ b/packages/scheduler/src/scheduler.test.ts
@@ -14,7 +14,7 @@
 import { GuaranteeWitness } from './GuaranteeWitness.js';
 import type { ObservedState, WorkerObservation } from './observe.js';
 import type { Attempt, Job, Plan, Shape } from './Plan.js';
-import { createPlan, fitsInside } from './Plan.js';
+import { createJob, createPlan, fitsInside } from './Plan.js';
 import { applyChanges, findImpossibility, PlanChangeKind } from './PlanChange.js';
 import { lostWorkOf } from './ReclaimSearch.js';
 import { Scheduler } from './Scheduler.js';
@@ -63,24 +63,9 @@
   return parseConfiguration(text, 'test')._unsafeUnwrap();
 }
 
-function createJob(id: string, account: string, wanted: Shape, change: Partial<Job> = {}): Job {
-  return {
-    id,
-    name: id,
-    account,
-    shape: wanted,
-    urgency: Urgency.normal,
-    declaredMs: hourMs,
-    submittedAt: 0,
-    state: JobState.queued,
-    queuedAt: 0,
-    attemptCount: 0,
-    checkpointMs: 0,
-    attainedMs: 0,
-    failedWorkers: [],
-    reason: '',
-    ...change,
-  };
+function submitted(id: string, account: string, wanted: Shape, change: Partial<Job> = {}): Job {
+  const request = { id, name: id, account, shape: wanted, urgency: Urgency.normal };
+  return { ...createJob({ ...request, declaredMs: hourMs }, 0), ...change };
 }
 
 /** A data centre whose workers do at once what the plan says, unless told otherwise. */
@@ -243,7 +228,7 @@
       } else {
         const account = random.pick(['holder', 'borrower']);
         const wanted = random.pick([shape(1, 4), shape(2, 8, true), shape(1, 3), shape(3, 8)]);
-        bench.submit(createJob(`job-${run}-${turn}`, account, wanted)).settle();
+        bench.submit(submitted(`job-${run}-${turn}`, account, wanted)).settle();
       }
       const held = new Map<string, number>();
       bench.plan.attempts
@@ -267,10 +252,10 @@
 
 test('a guaranteed gang starts within 3.1 s although everything is borrowed', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('wide', 'borrower', shape(6, 8))).settle();
+  bench.submit(submitted('wide', 'borrower', shape(6, 8))).settle();
   t.is(bench.attempt('wide')?.state, AttemptState.running);
   const askedAt = bench.now;
-  bench.submit(createJob('pair', 'holder', shape(2, 8, true))).settle();
+  bench.submit(submitted('pair', 'holder', shape(2, 8, true))).settle();
   t.is(bench.attempt('pair')?.state, AttemptState.running);
   t.is(bench.attempt('pair')?.guarantee, 'pair');
   t.true(bench.now - askedAt < 3_100);
@@ -279,10 +264,10 @@
 
 test('a borrower that does not answer is stopped at its deadline', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('wide', 'borrower', shape(6, 8))).settle();
+  bench.submit(submitted('wide', 'borrower', shape(6, 8))).settle();
   const wide = bench.attempt('wide');
   wide?.tasks.forEach((task) => bench.states.set(`${wide.id}/${task.workerId}`, 'running'));
-  bench.submit(createJob('pair', 'holder', shape(2, 8, true)));
+  bench.submit(submitted('pair', 'holder', shape(2, 8, true)));
   const askedAt = bench.now;
   while (bench.attempt('pair')?.state !== AttemptState.running && bench.now < askedAt + 10_000) {
     bench.step(100);
@@ -292,10 +277,10 @@
 
 test('reclaim stops the borrowers with the least to lose, and no one else', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('old', 'borrower', shape(3, 8, true))).settle();
+  bench.submit(submitted('old', 'borrower', shape(3, 8, true))).settle();
   bench.step(hourMs);
-  bench.submit(createJob('new', 'borrower', shape(3, 8, true))).settle();
-  bench.submit(createJob('pair', 'holder', shape(2, 8, true))).settle();
+  bench.submit(submitted('new', 'borrower', shape(3, 8, true))).settle();
+  bench.submit(submitted('pair', 'holder', shape(2, 8, true))).settle();
   t.is(bench.attempt('old')?.state, AttemptState.running);
   t.is(bench.job('new').state, JobState.queued);
   t.is(bench.attempt('pair')?.state, AttemptState.running);
@@ -303,17 +288,17 @@
 
 test('attempts under a guarantee are never victims', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('pair', 'holder', shape(2, 8, true))).settle();
-  bench.submit(createJob('urgent', 'borrower', shape(6, 8), { urgency: Urgency.urgent })).settle();
+  bench.submit(submitted('pair', 'holder', shape(2, 8, true))).settle();
+  bench.submit(submitted('urgent', 'borrower', shape(6, 8), { urgency: Urgency.urgent })).settle();
   t.is(bench.attempt('pair')?.state, AttemptState.running);
   t.is(bench.job('urgent').state, JobState.queued);
 });
 
 test('an urgent job takes over the unit of a less urgent one of its account', (t) => {
   const bench = new Bench(createConfiguration(1));
-  bench.submit(createJob('calm', 'holder', shape(1, 4))).settle();
-  bench.submit(createJob('pair', 'holder', shape(2, 8, true))).settle();
-  const urgent = createJob('urgent', 'holder', shape(1, 4), { urgency: Urgency.urgent });
+  bench.submit(submitted('calm', 'holder', shape(1, 4))).settle();
+  bench.submit(submitted('pair', 'holder', shape(2, 8, true))).settle();
+  const urgent = submitted('urgent', 'holder', shape(1, 4), { urgency: Urgency.urgent });
   bench.submit(urgent).settle();
   t.is(bench.attempt('urgent')?.guarantee, 'single');
   t.is(bench.attempt('calm')?.guarantee, undefined);
@@ -321,9 +306,9 @@
 
 test('a borrower is covered once its account has a unit to spare', (t) => {
   const bench = new Bench(createConfiguration(1));
-  bench.submit(createJob('first', 'holder', shape(1, 4))).settle();
-  bench.submit(createJob('pair', 'holder', shape(2, 8, true))).settle();
-  bench.submit(createJob('second', 'holder', shape(1, 4))).settle();
+  bench.submit(submitted('first', 'holder', shape(1, 4))).settle();
+  bench.submit(submitted('pair', 'holder', shape(2, 8, true))).settle();
+  bench.submit(submitted('second', 'holder', shape(1, 4))).settle();
   t.is(bench.attempt('second')?.guarantee, undefined);
   bench.finish('first');
   t.is(bench.attempt('second')?.guarantee, 'single');
@@ -348,7 +333,7 @@
 
 test('a lost part stops the rest, and the job waits until the lost part must have ended', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('gang', 'borrower', shape(3, 8, true))).settle();
+  bench.submit(submitted('gang', 'borrower', shape(3, 8, true))).settle();
   const first = bench.attempt('gang');
   const lost = first?.tasks[0]?.workerId ?? '';
   bench.usable.delete(lost);
@@ -364,7 +349,7 @@
 
 test('a gang that does not reserve in time is released and tried again', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('gang', 'borrower', shape(2, 8, true))).step();
+  bench.submit(submitted('gang', 'borrower', shape(2, 8, true))).step();
   const first = bench.attempt('gang');
   bench.states.set(`${first?.id}/${first?.tasks[0]?.workerId}`, 'waiting');
   bench.step(4_100).settle();
@@ -377,20 +362,20 @@
   ['one', 'two', 'three'].forEach((id) => {
     const only = new Set(['w0']);
     workers.forEach((worker) => !only.has(worker.id) && bench.usable.delete(worker.id));
-    bench.submit(createJob(id, 'borrower', shape(1, 2))).settle();
+    bench.submit(submitted(id, 'borrower', shape(1, 2))).settle();
     bench.fail(id);
     workers.forEach((worker) => bench.usable.add(worker.id));
     bench.settle();
   });
   const record = bench.plan.workers.find((worker) => worker.workerId === 'w0');
   t.true((record?.quarantinedUntil ?? 0) > bench.now);
-  bench.submit(createJob('later', 'borrower', shape(1, 2))).settle();
+  bench.submit(submitted('later', 'borrower', shape(1, 2))).settle();
   t.not(bench.attempt('later')?.tasks[0]?.workerId, 'w0');
 });
 
 test('a job that fails on three workers is not tried again', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('broken', 'borrower', shape(1, 8))).settle();
+  bench.submit(submitted('broken', 'borrower', shape(1, 8))).settle();
   for (let turn = 0; turn < 3; turn += 1) {
     bench.fail('broken');
   }
@@ -401,7 +386,7 @@
 test('a job that can never run is told why', (t) => {
   const configuration = createConfiguration();
   const why = (account: string, wanted: Shape): string | undefined =>
-    findImpossibility(createJob('x', account, wanted), configuration, 'a');
+    findImpossibility(submitted('x', account, wanted), configuration, 'a');
   t.regex(why('borrower', shape(1, 9)) ?? '', /a task wants 9 accelerators, a worker has 8/);
   t.regex(why('borrower', shape(4, 8, true)) ?? '', /at most 3 can stand together/);
   t.regex(why('small', shape(2, 8)) ?? '', /the account may hold 8/);
@@ -411,12 +396,12 @@
 
 test('a large job does not starve under an endless flow of small ones', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('large', 'borrower', shape(6, 8), { declaredMs: 10 * hourMs }));
+  bench.submit(submitted('large', 'borrower', shape(6, 8), { declaredMs: 10 * hourMs }));
   let count = 0;
   const fill = (): void => {
     const small = Array.from({ length: 6 }, () => {
       count += 1;
-      return createJob(`small-${count}`, 'borrower', shape(1, 8), {
+      return submitted(`small-${count}`, 'borrower', shape(1, 8), {
         declaredMs: 60_000,
         queuedAt: bench.now,
         submittedAt: bench.now,
@@ -438,15 +423,15 @@
 
 test('an urgent job does not wait for large ones', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('large', 'borrower', shape(6, 8))).settle();
+  bench.submit(submitted('large', 'borrower', shape(6, 8))).settle();
   const askedAt = bench.now;
-  bench.submit(createJob('quick', 'small', shape(1, 1), { urgency: Urgency.urgent })).settle();
+  bench.submit(submitted('quick', 'small', shape(1, 1), { urgency: Urgency.urgent })).settle();
   t.is(bench.attempt('quick')?.state, AttemptState.running);
   t.true(bench.now - askedAt < 3_100);
 });
 
 test('declared times are corrected by earlier runs of the same kind', (t) => {
-  const job = createJob('x', 'borrower', shape(1, 1));
+  const job = submitted('x', 'borrower', shape(1, 1));
   let record = learn(job, 10 * hourMs, undefined);
   t.true(Math.abs(expectedMs(job, new Map([[kindOf(job), record]])) - 10 * hourMs) < 1);
   for (let run = 0; run < 30; run += 1) {
@@ -458,7 +443,7 @@
 test('a cancellation wave is one change of the plan', (t) => {
   const bench = new Bench();
   const jobs = Array.from({ length: 200 }, (_, index) =>
-    createJob(`job-${index}`, 'borrower', shape(1, 1)),
+    submitted(`job-${index}`, 'borrower', shape(1, 1)),
   );
   bench.submit(...jobs).settle();
   const before = bench.plan.revision;
@@ -472,7 +457,7 @@
 });
 
 test('submitting or cancelling twice has the effect of once', (t) => {
-  const job = createJob('x', 'borrower', shape(1, 1));
+  const job = submitted('x', 'borrower', shape(1, 1));
   const submit = { kind: PlanChangeKind.submit, job };
   const cancel = { kind: PlanChangeKind.cancel, jobId: 'x' };
   const once = applyChanges(createPlan('a'), [submit, submit], 0) as Plan;
@@ -484,7 +469,7 @@
 
 test('leases of a gang are renewed only while every part reports', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('gang', 'borrower', shape(2, 8, true))).settle();
+  bench.submit(submitted('gang', 'borrower', shape(2, 8, true))).settle();
   const attempt = bench.attempt('gang') as Attempt;
   const report = (workerId: string, change: Partial<WorkerObservation>): WorkerObservation => ({
     workerId,
@@ -532,7 +517,7 @@
 
 test('work since the last checkpoint is what stopping costs', (t) => {
   const bench = new Bench();
-  bench.submit(createJob('gang', 'borrower', shape(2, 8, true))).settle();
+  bench.submit(submitted('gang', 'borrower', shape(2, 8, true))).settle();
   const attempt = bench.attempt('gang') as Attempt;
   const cost = (progressMs: number, checkpointMs: number): number =>
     lostWorkOf({ ...attempt, progressMs, checkpointMs });
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -12,7 +12,7 @@
 }
 
 const known = readKnownRed();
-const run = spawnSync('npx', ['ava', '--tap'], { encoding: 'utf8', maxBuffer: 2 ** 28 });
+const run = spawnSync('npm', ['test', '--', '--tap'], { encoding: 'utf8', maxBuffer: 2 ** 28 });
 process.stdout.write(run.stdout);
 process.stderr.write(run.stderr);
 const lines = run.stdout.split('\n').map((line) => line.trim());
