--- a/packages/scheduler/src/Consolidation.ts
+++ b/packages/scheduler/src/Consolidation.ts
@@ -1,3 +1,4 @@
+import type { Borrower } from './Borrowers.js';
 import type { Capacity, WorkerShare } from './Capacity.js';
 import type { PlacementSearch } from './PlacementSearch.js';
 import type { Attempt, Job } from './Plan.js';
@@ -11,12 +12,6 @@
   readonly gain: number;
 }
 
-/** A borrower that may be moved. */
-export interface Movable {
-  readonly attempt: Attempt;
-  readonly job: Job;
-}
-
 /** Borrowers that one search looks at. */
 const maxMovables = 24;
 
@@ -35,7 +30,7 @@
   ) {}
 
   /** The best move that is worth its restart, if there is one. */
-  public find(free: Capacity, movables: readonly Movable[]): Move | undefined {
+  public find(free: Capacity, movables: readonly Borrower[]): Move | undefined {
     let best: Move | undefined;
     movables
       .filter(({ attempt }) => isOnOneWorker(attempt))
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -46,6 +46,6 @@
   TaskObservation,
   WorkerObservation,
 } from './observe.js';
-export { describeShape } from './PlacementRound.js';
+export { describeShape } from './reasons.js';
 export { fragmentationOf } from './fragmentation.js';
 export { isQuarantined } from './WorkerHistory.js';
