--- a/packages/daemon/src/EntryCore.ts
+++ b/packages/daemon/src/EntryCore.ts
@@ -1,17 +1,18 @@
 import type { Clock, Event, Random } from '@apricothoist/common';
 import { Disposables, Emitter, PeriodicTask } from '@apricothoist/common';
-import type { Digest, DigestContent, Mesh, PeerAddress } from '@apricothoist/mesh';
+import type { DigestContent, Mesh, PeerAddress } from '@apricothoist/mesh';
 import { MemberState } from '@apricothoist/mesh';
 import type { InstanceListError, ListedInstance } from '@apricothoist/platform';
 import { BudgetedStore, InstanceRole, ListedState, StoreWatch } from '@apricothoist/platform';
 import { Scheduler } from '@apricothoist/scheduler';
 
-import type { SharedConfiguration } from './ConfigurationKeeper.js';
-import { ConfigurationKeeper, sharedConfigurationSchema } from './ConfigurationKeeper.js';
+import { ConfigurationKeeper } from './ConfigurationKeeper.js';
 import { configurationPrefix, ConfigurationStore } from './ConfigurationStore.js';
 import type { CoreServices, CoreSettings } from './CoreServices.js';
 import { LeaderLease } from './LeaderLease.js';
 import { MeshForwarder } from './MeshForwarder.js';
+import type { LeavingNotice } from './PeerFollower.js';
+import { PeerFollower } from './PeerFollower.js';
 import { PlanKeeper } from './PlanKeeper.js';
 import { PlanRunner } from './PlanRunner.js';
 import { RenewalFence } from './RenewalFence.js';
@@ -20,21 +21,10 @@
 import { StoreClaims } from './StoreClaims.js';
 import { taskLeaseMs, WorkerGateway } from './WorkerGateway.js';
 
-/** Topics of requests between instances. */
-const configurationTopic = 'configuration';
-const planTopic = 'plan';
-
 const configurationPollMs = 3_000;
 const planPollMs = 3_000;
-const peerTimeoutMs = 3_000;
 const fenceIntervalMs = 1_000;
 
-/** An endpoint that is leaving, and who said so. */
-export interface LeavingNotice {
-  readonly endpointId: string;
-  readonly source: string;
-}
-
 /**
  * One entry instance without its listeners: follows the platform and its peers, schedules its
  * data centre when it holds the lease, and routes requests.
@@ -80,9 +70,7 @@
 
   public readonly onListUnreadable: Event<InstanceListError> = this.listFailed.event;
 
-  private readonly endpointLeft = new Emitter<LeavingNotice>();
-
-  public readonly onEndpointLeaving: Event<LeavingNotice> = this.endpointLeft.event;
+  private readonly peers: PeerFollower;
 
   public constructor(
     private readonly settings: CoreSettings,
@@ -101,8 +89,6 @@
     this.configurations = this.owned.register(new ConfigurationKeeper(this.configurationStore));
     this.plan = this.planOf(dataCentre);
     this.mesh = services.createMesh((isSameDataCentre) => this.describe(isSameDataCentre));
-    this.mesh.handle(configurationTopic, async () => this.sharedConfiguration());
-    this.mesh.handle(planTopic, async () => this.plan.current);
     const forwarder = new MeshForwarder(this.mesh, clock, random, dataCentre);
     this.routers = new ServiceRouters({
       clock,
@@ -118,10 +104,26 @@
       new WorkerGateway(services.workerClient, this.plan, clock, dataCentre),
     );
     this.fence = new RenewalFence(clock, taskLeaseMs);
+    this.peers = this.owned.register(
+      new PeerFollower({
+        mesh: this.mesh,
+        clock,
+        dataCentre,
+        configurations: this.configurations,
+        plan: this.plan,
+        routers: this.routers,
+        onError: (error) => this.failed.fire(error),
+      }),
+    );
     this.runner = this.createRunner();
     this.connect();
   }
 
+  /** Fires with an endpoint that is leaving, and who said so first. */
+  public get onEndpointLeaving(): Event<LeavingNotice> {
+    return this.peers.onEndpointLeaving;
+  }
+
   /** Whether requests can be served: a configuration is in force and the instance stays. */
   public get isReady(): boolean {
     return this.configurations.current !== undefined && !this.isLeaving;
@@ -155,7 +157,6 @@
     await this.owned[Symbol.asyncDispose]();
     this.failed[Symbol.dispose]();
     this.listFailed[Symbol.dispose]();
-    this.endpointLeft[Symbol.dispose]();
   }
 
   /** The plan of a data centre, or undefined when the data centre is not configured. */
@@ -197,11 +198,7 @@
       this.mesh.announce();
     });
     this.mesh.onMembersChanged(() => this.updateMembers());
-    this.mesh.onDigest((digest) => this.hear(digest));
-    this.routers.onEndpointLeaving((endpointId) => {
-      this.endpointLeft.fire({ endpointId, source: 'endpoint' });
-      this.mesh.announce();
-    });
+    this.routers.onEndpointLeaving(() => this.mesh.announce());
   }
 
   private follow(step: () => Promise<void>, intervalMs: number): void {
@@ -255,10 +252,7 @@
   private async refreshConfiguration(): Promise<void> {
     const hasAnswered = await this.configurations.refresh();
     if (!hasAnswered && this.configurations.current === undefined) {
-      const [peer] = this.mesh.membership.alive();
-      if (peer?.digest !== undefined) {
-        await this.pullConfiguration(peer.digest);
-      }
+      await this.peers.pullConfiguration();
     }
   }
 
@@ -266,55 +260,6 @@
     await this.plan.refresh();
   }
 
-  private hear(digest: Digest): void {
-    if (digest.configurationRevision > this.configurations.revision) {
-      this.pullConfiguration(digest).catch((error: unknown) => this.failed.fire(error));
-    }
-    const isSameDataCentre = digest.dataCentre === this.settings.dataCentre;
-    if (isSameDataCentre && digest.planRevision > this.plan.current.revision) {
-      this.pullPlan(digest).catch((error: unknown) => this.failed.fire(error));
-    }
-    if (isSameDataCentre) {
-      this.routers.setPeerLoads(this.sumPeerLoads());
-    }
-    digest.leavingEndpoints
-      .filter((endpointId) => this.routers.markLeaving(endpointId))
-      .forEach((endpoint) => {
-        this.endpointLeft.fire({ endpointId: endpoint, source: digest.instanceId });
-      });
-  }
-
-  private async pullConfiguration(digest: Digest): Promise<void> {
-    const deadline = this.clock.monotonic() + peerTimeoutMs;
-    const answer = await this.mesh.request(digest.instanceId, configurationTopic, {}, deadline);
-    const checked = sharedConfigurationSchema.safeParse(answer.unwrapOr(undefined));
-    if (checked.success) {
-      this.configurations.offer(checked.data);
-    }
-  }
-
-  private async pullPlan(digest: Digest): Promise<void> {
-    const deadline = this.clock.monotonic() + peerTimeoutMs;
-    const answer = await this.mesh.request(digest.instanceId, planTopic, {}, deadline);
-    this.plan.offer(answer.unwrapOr(undefined), digest.planConfirmedAt);
-  }
-
-  private sharedConfiguration(): SharedConfiguration | undefined {
-    const active = this.configurations.current;
-    return active && { revision: active.revision, digest: active.digest, text: active.text };
-  }
-
-  private sumPeerLoads(): Map<string, number> {
-    const sums = new Map<string, number>();
-    this.mesh.membership
-      .alive(this.settings.dataCentre)
-      .flatMap((member) => member.digest?.endpoints ?? [])
-      .forEach(({ endpointId, inFlight }) => {
-        sums.set(endpointId, (sums.get(endpointId) ?? 0) + inFlight);
-      });
-    return sums;
-  }
-
   private updateMembers(): void {
     const peers = this.mesh.membership.alive(this.settings.dataCentre);
     const ids = peers.map((member) => member.instanceId);
--- a/packages/daemon/src/HttpEndpointSender.ts
+++ b/packages/daemon/src/HttpEndpointSender.ts
@@ -6,6 +6,8 @@
 import { AttemptOutcome } from '@apricothoist/router';
 
 import type { AnswerContent, HeaderValue, RequestContent, ServiceSender } from './CoreServices.js';
+import type { ReceivedAnswer } from './HttpExchange.js';
+import { ExchangeEnd, HttpExchange } from './HttpExchange.js';
 
 /** Headers between this product and endpoints or callers. */
 export const OutcomeHeader = {
@@ -19,7 +21,6 @@
 } as const;
 
 const firstServerErrorStatus = 500;
-const connectTimeoutMs = 1_000;
 const connectionHeaders = ['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te'];
 
 const notRun = (reason?: string): AttemptResult<AnswerContent> => ({
@@ -28,6 +29,10 @@
   isLeaving: reason === 'leaving',
 });
 const unknown: AttemptResult<AnswerContent> = { outcome: AttemptOutcome.unknown };
+const resultOfEnd = {
+  [ExchangeEnd.notSent]: notRun(),
+  [ExchangeEnd.unknown]: unknown,
+} as const;
 
 /** Sends requests to endpoints over HTTP, each on a connection that carries no other meanwhile. */
 export class HttpEndpointSender implements ServiceSender {
@@ -55,73 +60,25 @@
   ): Promise<AttemptResult<AnswerContent>> {
     this.attempts += 1;
     const attemptId = `${this.instanceId}.${this.attempts}`;
-    return new Promise((resolve) => {
-      let isConnected = false;
-      let isDone = false;
-      const outgoing = request(`http://${endpoint.address}${content.path}`, {
-        method: content.method,
-        // A pooled connection may be closing, which would leave it open whether the request ran.
-        agent: ticket.isIdempotent ? this.agentFor(endpoint.address) : false,
-        headers: {
-          ...content.headers,
-          [OutcomeHeader.attempt]: attemptId,
-          'content-length': content.body.length,
-        },
-      });
-      const finish = (result: AttemptResult<AnswerContent>): void => {
-        if (isDone) {
-          return;
-        }
-        isDone = true;
-        clearTimeout(timer);
-        clearTimeout(connectTimer);
-        if (result.outcome === AttemptOutcome.unknown) {
-          // A late answer finds no connection.
-          outgoing.destroy();
-        }
-        resolve(result);
-      };
-      const fail = (): void => finish(isConnected ? unknown : notRun());
-      const timer = setTimeout(fail, Math.max(0, deadline - this.clock.monotonic()));
-      const connectTimer = setTimeout(() => {
-        if (!isConnected) {
-          outgoing.destroy();
-          finish(notRun());
-        }
-      }, connectTimeoutMs);
-      outgoing.on('socket', (socket) => {
-        if (!socket.connecting) {
-          isConnected = true;
-          return;
-        }
-        socket.once('connect', () => {
-          isConnected = true;
-        });
-      });
-      outgoing.on('error', fail);
-      outgoing.on('response', (answer) => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        answer.on('data', (chunk: Buffer) => {
-          chunks.push(chunk);
-          size += chunk.length;
-          if (size > this.maxBodyBytes) {
-            finish(unknown);
-          }
-        });
-        answer.on('aborted', fail);
-        answer.on('error', fail);
-        answer.on('end', () => {
-          const body = Buffer.concat(chunks);
-          finish(
-            answer.complete
-              ? judge(answer.statusCode ?? 0, answer.headers, body, attemptId)
-              : unknown,
-          );
-        });
-      });
-      outgoing.end(content.body);
+    const outgoing = request(`http://${endpoint.address}${content.path}`, {
+      method: content.method,
+      // A pooled connection may be closing, which would leave it open whether the request ran.
+      agent: ticket.isIdempotent ? this.agentFor(endpoint.address) : false,
+      headers: {
+        ...content.headers,
+        [OutcomeHeader.attempt]: attemptId,
+        'content-length': content.body.length,
+      },
     });
+    const timeoutMs = deadline - this.clock.monotonic();
+    const exchange = new HttpExchange(outgoing, timeoutMs, this.maxBodyBytes);
+    return exchange
+      .run(content.body)
+      .then((ended) =>
+        ended.kind === ExchangeEnd.answered
+          ? judge(ended.answer, attemptId)
+          : resultOfEnd[ended.kind],
+      );
   }
 
   public [Symbol.dispose](): void {
@@ -148,12 +105,8 @@
   return Object.fromEntries(kept);
 }
 
-function judge(
-  status: number,
-  headers: IncomingHttpHeaders,
-  body: Uint8Array,
-  attemptId: string,
-): AttemptResult<AnswerContent> {
+function judge(received: ReceivedAnswer, attemptId: string): AttemptResult<AnswerContent> {
+  const { status, headers, body } = received;
   const echoed = headers[OutcomeHeader.attempt];
   if (echoed !== undefined && echoed !== attemptId) {
     return unknown;
@@ -163,10 +116,9 @@
   }
   const kept = endToEndHeaders(headers);
   delete kept[OutcomeHeader.attempt];
-  const answer = { status, headers: kept, body };
   return {
     outcome: AttemptOutcome.answered,
-    answer,
+    answer: { status, headers: kept, body },
     isFailure: status >= firstServerErrorStatus,
   };
 }
--- a/packages/faults/src/defects.ts
+++ b/packages/faults/src/defects.ts
@@ -141,9 +141,9 @@
     fault: 'none',
     plant: () =>
       replace(RequestRouter, {
-        async stop(this: { courses: Set<{ isSettled: boolean }>; isStopping: boolean }) {
+        async stop(this: { courses: { all: { isSettled: boolean }[] }; isStopping: boolean }) {
           this.isStopping = true;
-          this.courses.forEach((course) => {
+          this.courses.all.forEach((course) => {
             course.isSettled = true;
           });
         },
--- a/packages/router/src/FairQueue.ts
+++ b/packages/router/src/FairQueue.ts
@@ -109,6 +109,16 @@
     return lane === undefined ? undefined : this.takeFrom(lane).run;
   }
 
+  /** Takes a request out that has been answered without running. */
+  public withdraw(ticket: Ticket): void {
+    const { entries } = this.laneOf(ticket);
+    const place = entries.findIndex((entry) => entry.options.ticket === ticket);
+    if (place >= 0) {
+      entries.splice(place, 1);
+      this.count -= 1;
+    }
+  }
+
   public setPriority(): void {
     throw new TypeError('the order follows from the tickets');
   }
--- a/packages/router/src/RequestRouter.ts
+++ b/packages/router/src/RequestRouter.ts
@@ -3,10 +3,13 @@
 import PQueue from 'p-queue';
 
 import { admit } from './Admission.js';
+import type { Course } from './Course.js';
+import { createCourse } from './Course.js';
 import type { Endpoint } from './Endpoint.js';
 import type { EndpointTable } from './EndpointTable.js';
 import type { TicketOptions, WeightOf } from './FairQueue.js';
 import { FairQueue } from './FairQueue.js';
+import { OpenCourses } from './OpenCourses.js';
 import { RetryBudget } from './RetryBudget.js';
 import type {
   EndpointSender,
@@ -39,21 +42,6 @@
   readonly limitOf: (account: string) => number | undefined;
 }
 
-/** One request on its way. */
-interface Course<Body, Answer> {
-  readonly ticket: Ticket;
-  readonly body: Body;
-  readonly settle: (result: RouteResult<Answer>) => void;
-  readonly excluded: Set<string>;
-  isSettled: boolean;
-  isRunning: boolean;
-  isClaimed: boolean;
-  hasForwarded: boolean;
-  sends: number;
-  /** Whether an earlier send of this request may have run. */
-  mayHaveRun: boolean;
-}
-
 /** Milliseconds between looks for queued requests that can no longer be answered in time. */
 const sweepIntervalMs = 20;
 /** How many times longer than its pace says a queue may take before its last ones are refused. */
@@ -68,9 +56,7 @@
 
   private readonly queue: PQueue<FairQueue, TicketOptions>;
 
-  private readonly courses = new Set<Course<Body, Answer>>();
-
-  private readonly openByAccount = new Map<string, number>();
+  private readonly courses = new OpenCourses<Body, Answer>();
 
   private readonly rate = new ServiceRate();
 
@@ -162,7 +148,7 @@
       queue: this.fairQueue,
       concurrency: this.queue.concurrency,
       serviceMs: this.rate.meanMs,
-      accountOpen: this.openByAccount.get(ticket.account) ?? 0,
+      accountOpen: this.courses.countOf(ticket.account),
       accountLimit,
       weightOf: this.services.weightOf,
     };
@@ -176,20 +162,8 @@
   }
 
   private enter(ticket: Ticket, body: Body): Promise<RouteResult<Answer>> {
-    this.changeOpen(ticket.account, 1);
     return new Promise((resolve) => {
-      const course: Course<Body, Answer> = {
-        ticket,
-        body,
-        settle: resolve,
-        excluded: new Set(),
-        isSettled: false,
-        isRunning: false,
-        isClaimed: false,
-        hasForwarded: false,
-        sends: 0,
-        mayHaveRun: false,
-      };
+      const course = createCourse(ticket, body, resolve);
       this.courses.add(course);
       this.enqueue(course);
       this.scheduleSweep();
@@ -373,8 +347,7 @@
       return;
     }
     course.isSettled = true;
-    this.courses.delete(course);
-    this.changeOpen(course.ticket.account, -1);
+    this.courses.remove(course);
     if (course.isClaimed && result.outcome === AttemptOutcome.notRun) {
       // The key is free before the caller hears that the request did not run.
       this.services.claims.release(course.ticket).then(
@@ -405,17 +378,14 @@
         (ticket, waitMs) => now + waitMs / paceTolerance + this.rate.meanMs > ticket.deadline,
       ),
     );
-    this.courses.forEach((course) => {
+    this.courses.all.forEach((course) => {
       if (!course.isRunning && hopeless.has(course.ticket)) {
+        this.fairQueue.withdraw(course.ticket);
         this.giveUp(course, RefusalReason.overloaded);
       }
     });
   }
 
-  private changeOpen(account: string, change: number): void {
-    this.openByAccount.set(account, (this.openByAccount.get(account) ?? 0) + change);
-  }
-
   private refusal(reason: RefusalReason, mayHaveRun = false): Refusal {
     const outcome = mayHaveRun ? AttemptOutcome.unknown : AttemptOutcome.notRun;
     return this.withJitter({ outcome, reason, retryAfterMs: retryAfterBaseMs });
