--- a/packages/daemon/src/HttpEndpointSender.ts
+++ b/packages/daemon/src/HttpEndpointSender.ts
@@ -1,7 +1,8 @@
 import type { IncomingHttpHeaders } from 'node:http';
-import { Agent, request } from 'node:http';
+import { request } from 'node:http';
 
 import type { Clock } from '@apricothoist/common';
+import { AgentPool } from '@apricothoist/platform';
 import type { AttemptResult, Endpoint, Ticket } from '@apricothoist/router';
 import { AttemptOutcome } from '@apricothoist/router';
 
@@ -36,7 +37,7 @@
 
 /** Sends requests to endpoints over HTTP, each on a connection that carries no other meanwhile. */
 export class HttpEndpointSender implements ServiceSender {
-  private readonly agents = new Map<string, Agent>();
+  private readonly agents: AgentPool;
 
   private attempts = 0;
 
@@ -48,9 +49,11 @@
   public constructor(
     private readonly instanceId: string,
     private readonly clock: Clock,
-    private readonly maxConnections: number,
+    maxConnections: number,
     private readonly maxBodyBytes: number,
-  ) {}
+  ) {
+    this.agents = new AgentPool(maxConnections);
+  }
 
   public send(
     endpoint: Endpoint,
@@ -63,7 +66,7 @@
     const outgoing = request(`http://${endpoint.address}${content.path}`, {
       method: content.method,
       // A pooled connection may be closing, which would leave it open whether the request ran.
-      agent: ticket.isIdempotent ? this.agentFor(endpoint.address) : false,
+      agent: ticket.isIdempotent ? this.agents.agentFor(endpoint.address) : false,
       headers: {
         ...content.headers,
         [OutcomeHeader.attempt]: attemptId,
@@ -82,18 +85,7 @@
   }
 
   public [Symbol.dispose](): void {
-    this.agents.forEach((agent) => agent.destroy());
-    this.agents.clear();
-  }
-
-  private agentFor(address: string): Agent {
-    const known = this.agents.get(address);
-    if (known !== undefined) {
-      return known;
-    }
-    const agent = new Agent({ keepAlive: true, maxSockets: this.maxConnections });
-    this.agents.set(address, agent);
-    return agent;
+    this.agents[Symbol.dispose]();
   }
 }
 
--- a/packages/daemon/src/RenewalFence.ts
+++ b/packages/daemon/src/RenewalFence.ts
@@ -32,15 +32,26 @@
     }
     const revision = Math.min(ownRevision, ...renewers.map((renewer) => renewer.planRevision));
     this.points.push({ revision, at: this.clock.monotonic() });
+    this.forgetOld();
+  }
+
+  /** Points that are remembered; bounded by the lease. */
+  public get size(): number {
+    return this.points.length;
   }
 
   public revision(): number {
-    const before = this.clock.monotonic() - this.leaseMs;
-    const index = this.points.findLastIndex((point) => point.at <= before);
-    if (index < 0) {
-      return -1;
-    }
-    this.points = this.points.slice(index);
-    return this.points[0]?.revision ?? -1;
+    const point = this.points.findLast((candidate) => candidate.at <= this.fencedAt);
+    return point?.revision ?? -1;
+  }
+
+  private get fencedAt(): number {
+    return this.clock.monotonic() - this.leaseMs;
+  }
+
+  // Only the newest point that is a lease old matters, and those after it.
+  private forgetOld(): void {
+    const index = this.points.findLastIndex((point) => point.at <= this.fencedAt);
+    this.points = this.points.slice(Math.max(0, index));
   }
 }
--- a/packages/daemon/src/StoreClaims.ts
+++ b/packages/daemon/src/StoreClaims.ts
@@ -22,7 +22,7 @@
  */
 export class StoreClaims implements RequestClaims {
   /** Versions of the claims that this instance holds, by ticket. */
-  private readonly held = new Map<string, number>();
+  private readonly held = new WeakMap<Ticket, number>();
 
   public constructor(
     private readonly store: Store,
@@ -42,8 +42,8 @@
   }
 
   public async release(ticket: Ticket): Promise<void> {
-    const version = this.held.get(ticket.id);
-    this.held.delete(ticket.id);
+    const version = this.held.get(ticket);
+    this.held.delete(ticket);
     if (version !== undefined) {
       await this.write(keyOf(ticket), version, ticket, ClaimState.released);
     }
@@ -77,7 +77,7 @@
   }
 
   private hold(ticket: Ticket, version: number): Claim {
-    this.held.set(ticket.id, version);
+    this.held.set(ticket, version);
     return ClaimResult.granted;
   }
 
--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -301,6 +301,16 @@
   t.false(first?.isHeld);
 });
 
+test('the fence remembers no more than a lease’s worth, asked or not', (t) => {
+  const clock = new ManualClock();
+  const fence = new RenewalFence(clock, 8_000);
+  for (let second = 0; second < 1_000; second += 1) {
+    fence.note([], second);
+    clock.advance(1_000);
+  }
+  t.true(fence.size <= 10, `${fence.size} points`);
+});
+
 test('the fence waits for every instance and for a lease', (t) => {
   const clock = new ManualClock();
   const fence = new RenewalFence(clock, 8_000);
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -31,6 +31,9 @@
       },
     );
   };
+  process.on('unhandledRejection', (error) => {
+    log.emit(EventKinds.internalError, { message: messageOf(error) });
+  });
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
   try {
--- a/packages/platform/src/BudgetedStore.ts
+++ b/packages/platform/src/BudgetedStore.ts
@@ -54,6 +54,7 @@
   /** Fires when the store becomes slow, goes down or is up again. */
   public readonly onStateChange: Event<StoreState> = this.stateChanged.event;
 
+  /** Calls made since the start, waiting watches included. */
   public calls = 0;
 
   public constructor(
@@ -145,7 +146,9 @@
   /** Takes one call from the budget for a watch, which the caller makes on its own connection. */
   public admitWatch(): boolean {
     const now = this.clock.monotonic();
-    return this.health.admit(now) && this.budget.take(now);
+    const isAdmitted = this.health.admit(now) && this.budget.take(now);
+    this.calls += isAdmitted ? 1 : 0;
+    return isAdmitted;
   }
 
   /** Notes what a watch met. */
--- a/packages/platform/src/HttpWorkerClient.ts
+++ b/packages/platform/src/HttpWorkerClient.ts
@@ -1,17 +1,19 @@
-import { Agent } from 'node:http';
-
 import type { Clock } from '@apricothoist/common';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
+import { AgentPool } from './AgentPool.js';
 import { httpCall, HttpErrorKind } from './httpCall.js';
 import type { WorkerAssignment, WorkerClient, WorkerReport } from './WorkerClient.js';
 import { workerReportSchema } from './WorkerClient.js';
 import { WorkerError, WorkerErrorKind } from './WorkerError.js';
 
+/** Connections to one worker. */
+const maxConnections = 2;
+
 /** Speaks the workers' HTTP protocol. */
 export class HttpWorkerClient implements WorkerClient, Disposable {
-  private readonly agents = new Map<string, Agent>();
+  private readonly agents = new AgentPool(maxConnections);
 
   public constructor(private readonly clock: Clock) {}
 
@@ -22,11 +24,11 @@
   ): Promise<Result<WorkerReport, WorkerError>> {
     const url = `http://${address}/v1/assign`;
     const body = JSON.stringify(assignment);
-    const agent = this.agentFor(address);
+    const agent = this.agents.agentFor(address);
     const answer = await httpCall({ method: 'POST', url, body, deadline, agent }, this.clock);
     if (answer.isErr()) {
       if (answer.error.kind !== HttpErrorKind.notSent) {
-        this.dropConnections(address);
+        this.agents.drop(address);
       }
       const options = { cause: answer.error };
       return err(new WorkerError(WorkerErrorKind.unreachable, answer.error.message, options));
@@ -40,22 +42,6 @@
   }
 
   public [Symbol.dispose](): void {
-    this.agents.forEach((agent) => agent.destroy());
-    this.agents.clear();
-  }
-
-  private agentFor(address: string): Agent {
-    const known = this.agents.get(address);
-    if (known !== undefined) {
-      return known;
-    }
-    const agent = new Agent({ keepAlive: true, maxSockets: 2 });
-    this.agents.set(address, agent);
-    return agent;
-  }
-
-  private dropConnections(address: string): void {
-    this.agents.get(address)?.destroy();
-    this.agents.delete(address);
+    this.agents[Symbol.dispose]();
   }
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -28,5 +28,6 @@
 } from './WorkerClient.js';
 export { WorkerError, WorkerErrorKind } from './WorkerError.js';
 export { HttpWorkerClient } from './HttpWorkerClient.js';
+export { AgentPool } from './AgentPool.js';
 export { httpCall, HttpError, HttpErrorKind } from './httpCall.js';
 export type { HttpAnswer, HttpCall } from './httpCall.js';
