--- a/packages/daemon/src/InstanceEvents.ts
+++ b/packages/daemon/src/InstanceEvents.ts
@@ -50,6 +50,7 @@
       const kind = units.length > 0 ? EventKinds.guaranteeShortfall : EventKinds.guaranteesMet;
       this.log.emit(kind, { units: units.length, accounts });
     });
+    runner.onOutageRenewal(() => this.log.emit(EventKinds.renewingInOutage));
     runner.onWriteFailed((error) => this.notePlanError(error));
     mesh.onMembersChanged(() => {
       this.log.emit(EventKinds.membersChanged, { alive: mesh.membership.alive().length });
--- a/packages/daemon/src/PlanRunner.ts
+++ b/packages/daemon/src/PlanRunner.ts
@@ -47,12 +47,19 @@
   /** Fires when the guarantee units that cannot be met have changed. */
   public readonly onShortfall: Event<readonly GuaranteeUnit[]> = this.shortage.event;
 
+  private readonly outageRenewal = new Emitter<void>();
+
+  /** Fires when this instance begins to renew leases although nobody can schedule. */
+  public readonly onOutageRenewal: Event<void> = this.outageRenewal.event;
+
   private readonly failed = new Emitter<PlanError>();
 
   public readonly onWriteFailed: Event<PlanError> = this.failed.event;
 
   private isLeading = false;
 
+  private isRenewingInOutage = false;
+
   private leadingSince = 0;
 
   private shortfallKey = '';
@@ -90,6 +97,7 @@
     await this.services.lease.release();
     this.leadership[Symbol.dispose]();
     this.shortage[Symbol.dispose]();
+    this.outageRenewal[Symbol.dispose]();
     this.failed[Symbol.dispose]();
   }
 
@@ -105,7 +113,8 @@
     }
     await lease.maintain();
     await this.noteLeadership(lease.isHeld);
-    if (this.isLeading || this.services.mayRenewInOutage()) {
+    this.noteOutageRenewal(!this.isLeading && this.services.mayRenewInOutage());
+    if (this.isLeading || this.isRenewingInOutage) {
       gateway.activate();
     } else {
       gateway.deactivate();
@@ -115,6 +124,13 @@
     }
   }
 
+  private noteOutageRenewal(isRenewing: boolean): void {
+    if (isRenewing && !this.isRenewingInOutage) {
+      this.outageRenewal.fire();
+    }
+    this.isRenewingInOutage = isRenewing;
+  }
+
   private async noteLeadership(isHeld: boolean): Promise<void> {
     if (isHeld === this.isLeading) {
       return;
--- a/packages/daemon/src/WorkerGateway.ts
+++ b/packages/daemon/src/WorkerGateway.ts
@@ -122,6 +122,7 @@
       entry.missedReads = ids.has(id) ? 0 : entry.missedReads + 1;
       entry.observation = { ...entry.observation, isGone: this.isGone(entry) };
     });
+    this.forgetGone();
     own.forEach((row) => {
       const known = this.entries.get(row.id);
       if (known === undefined) {
@@ -132,6 +133,11 @@
     });
   }
 
+  /** Workers that are called or waited for. */
+  public get size(): number {
+    return this.entries.size;
+  }
+
   /** The workers as the scheduler sees them. */
   public get workers(): WorkerView[] {
     return [...this.entries.values()]
@@ -257,6 +263,17 @@
     return tasks.some((task) => task.phase !== 'run') ? changingPollMs : busyPollMs;
   }
 
+  // A worker that is gone is needed only while the plan still has to learn that.
+  private forgetGone(): void {
+    const tasks = this.plans.current.attempts.flatMap((attempt) => attempt.tasks);
+    const named = new Set(tasks.map((task) => task.workerId));
+    this.entries.forEach((entry, id) => {
+      if (entry.observation.isGone && !named.has(id)) {
+        this.entries.delete(id);
+      }
+    });
+  }
+
   private isGone(entry: WorkerEntry): boolean {
     const silentBefore = this.clock.wall() - lostAfterMs;
     return entry.missedReads >= readsUntilGone && entry.observation.reportedAt < silentBefore;
--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -1,13 +1,15 @@
-import { readFileSync } from 'node:fs';
+import { readdirSync, readFileSync } from 'node:fs';
 
 import { Random } from '@apricothoist/common';
 import { Adjacency, ConfigurationBuilder, Urgency } from '@apricothoist/config';
-import { BudgetedStore } from '@apricothoist/platform';
+import { BudgetedStore, WorkerError, WorkerErrorKind } from '@apricothoist/platform';
 import { ClaimResult } from '@apricothoist/router';
-import { createJob, PlanChangeKind } from '@apricothoist/scheduler';
+import type { Attempt } from '@apricothoist/scheduler';
+import { createJob, createPlan, PlanChangeKind } from '@apricothoist/scheduler';
 import { ManualClock, MemoryStore } from '@apricothoist/testing';
 import test from 'ava';
 import fc from 'fast-check';
+import { err } from 'neverthrow';
 
 import { ConfigurationKeeper } from './ConfigurationKeeper.js';
 import { ConfigurationStore, PublishErrorKind } from './ConfigurationStore.js';
@@ -17,6 +19,7 @@
 import { RenewalFence } from './RenewalFence.js';
 import { parseSettings } from './Settings.js';
 import { StoreClaims } from './StoreClaims.js';
+import { WorkerGateway } from './WorkerGateway.js';
 
 const limits = { callsPerSecond: 10_000, reservedPerSecond: 10, callTimeoutMs: 1_000 };
 
@@ -117,6 +120,17 @@
   t.is(new Set(kinds.map(({ code }) => code)).size, kinds.length);
 });
 
+test('every log event is emitted somewhere', (t) => {
+  const folder = new URL('../src/', import.meta.url);
+  const sources = readdirSync(folder)
+    .filter((name) => name.endsWith('.ts') && !name.endsWith('.test.ts'))
+    .map((name) => readFileSync(new URL(name, folder), 'utf8'))
+    .join('\n');
+  Object.keys(EventKinds).forEach((name) => {
+    t.true(sources.includes(`EventKinds.${name}`), name);
+  });
+});
+
 test('of racing operators one wins, and the loser sees what won', async (t) => {
   const { stores } = createStores(2);
   const [first, second] = stores.map((store) => new ConfigurationStore(store));
@@ -301,6 +315,33 @@
   t.false(first?.isHeld);
 });
 
+test('a worker that is gone is forgotten once the plan does not name it', (t) => {
+  const clock = new ManualClock();
+  const client = { assign: async () => err(new WorkerError(WorkerErrorKind.unreachable, '')) };
+  const task = { workerId: 'w1', accelerators: 1, isStopped: false, isFinished: false };
+  const plan = createPlan('a');
+  const source = { current: { ...plan, attempts: [{ tasks: [task] } as unknown as Attempt] } };
+  const gateway = new WorkerGateway(client, source, clock, 'a');
+  const rows = ['w1', 'w2'].map((id) => ({
+    id,
+    role: 'worker' as const,
+    dataCentre: 'a',
+    address: `${id}:1`,
+    state: 'live' as const,
+    accelerators: 1,
+  }));
+  gateway.updateListed(rows);
+  clock.advance(60_000);
+  gateway.updateListed([]);
+  gateway.updateListed([]);
+  gateway.updateListed([]);
+  t.is(gateway.size, 1);
+  t.true(gateway.observations.get('w1')?.isGone);
+  source.current = plan;
+  gateway.updateListed([]);
+  t.is(gateway.size, 0);
+});
+
 test('the fence remembers no more than a lease’s worth, asked or not', (t) => {
   const clock = new ManualClock();
   const fence = new RenewalFence(clock, 8_000);
