--- a/packages/faults/src/VirtualEndpoint.ts
+++ b/packages/faults/src/VirtualEndpoint.ts
@@ -31,6 +31,9 @@
   /** Virtual milliseconds since which it is leaving. It goes on accepting. */
   public leavingSince = Infinity;
 
+  /** Refuses the next request as leaving, and accepts all later ones. */
+  public willSayLeaving = false;
+
   private busy = 0;
 
   public constructor(
@@ -40,6 +43,11 @@
   ) {}
 
   public async serve(requestId: string): Promise<EndpointAnswer> {
+    if (this.willSayLeaving) {
+      this.willSayLeaving = false;
+      this.leavingSince = this.now();
+      return { kind: 'leaving', requestId };
+    }
     if (this.busy >= this.slots) {
       return { kind: 'busy', requestId };
     }
--- a/packages/faults/src/faultKinds.ts
+++ b/packages/faults/src/faultKinds.ts
@@ -273,6 +273,22 @@
     },
     lengthMs: shortMs,
   },
+  {
+    // The endpoint tells one instance, which has to tell the others; the list is half a minute late.
+    name: 'endpoint leaves, the list lags',
+    strike: (world) => {
+      world.listLagMs = 30_000;
+      const endpoint = world.endpoints.get('a-endpoint-2');
+      if (endpoint !== undefined) {
+        endpoint.willSayLeaving = true;
+      }
+      world.markLeaving('a-endpoint-2');
+    },
+    heal: (world) => {
+      world.listLagMs = 0;
+    },
+    lengthMs: shortMs,
+  },
   {
     name: 'endpoint leaves',
     strike: (world) => {
