--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,17 @@
   cli: ['common', 'config'],
   testing: ['common', 'platform'],
   demo: ['common', 'config', 'platform', 'testing', 'examples'],
-  bench: ['common', 'config', 'platform', 'mesh', 'router', 'scheduler', 'examples', 'testing', 'demo'],
+  bench: [
+    'common',
+    'config',
+    'platform',
+    'mesh',
+    'router',
+    'scheduler',
+    'examples',
+    'testing',
+    'demo',
+  ],
   faults: ['common', 'config', 'platform', 'mesh', 'router', 'scheduler', 'daemon', 'testing'],
 };
 const packageNames = [...Object.keys(allowedImports), 'examples'];
--- a/packages/bench/src/scheduler/schedulerBench.ts
+++ b/packages/bench/src/scheduler/schedulerBench.ts
@@ -8,7 +8,8 @@
 import type { ReplayResult } from './ReplayResult.js';
 import { SchedulerReplay } from './SchedulerReplay.js';
 import type { Workload } from './Workload.js';
-import { createListarama, createTallinn, createTwoYear } from './workloads.js';
+import { createTwoYear } from './twoYearWorkload.js';
+import { createListarama, createTallinn } from './workloads.js';
 
 const seeds = [11, 12, 13];
 const exampleDays = 5;
--- a/packages/bench/src/scheduler/workloads.ts
+++ b/packages/bench/src/scheduler/workloads.ts
@@ -1,18 +1,18 @@
 import { Random } from '@apricothoist/common';
-import type { Configuration } from '@apricothoist/config';
-import { Adjacency, ConfigurationBuilder, parseConfiguration } from '@apricothoist/config';
+import type { Configuration, ConfigurationBuilder } from '@apricothoist/config';
+import { Adjacency, parseConfiguration } from '@apricothoist/config';
 import { listarama, tallinn } from '@apricothoist/examples';
 import type { Shape } from '@apricothoist/scheduler';
 
 import type { ListedJob, Workload } from './Workload.js';
 import { createWorkers } from './Workload.js';
 
-const minuteMs = 60_000;
-const hourMs = 60 * minuteMs;
+export const minuteMs = 60_000;
+export const hourMs = 60 * minuteMs;
 const dayMs = 24 * hourMs;
 
 /** A kind of job in a list. */
-interface JobKind {
+export interface JobKind {
   readonly name: string;
   readonly account: string;
   readonly dataCentre: string;
@@ -28,7 +28,7 @@
   readonly finishWithinHours?: number;
 }
 
-function shape(workers: number, acceleratorsPerWorker: number, isAdjacent = false): Shape {
+export function shape(workers: number, acceleratorsPerWorker: number, isAdjacent = false): Shape {
   const adjacency = isAdjacent ? Adjacency.rack : Adjacency.any;
   return { workers, acceleratorsPerWorker, adjacency };
 }
@@ -69,7 +69,7 @@
   };
 }
 
-function toWorkload(
+export function toWorkload(
   name: string,
   configuration: Configuration,
   kinds: readonly JobKind[],
@@ -84,7 +84,7 @@
   };
 }
 
-function configurationOf(builder: ConfigurationBuilder): Configuration {
+export function configurationOf(builder: ConfigurationBuilder): Configuration {
   return parseConfiguration(builder.print(), 'workload')._unsafeUnwrap();
 }
 
@@ -260,108 +260,3 @@
   ];
   return toWorkload('listarama', configurationOf(listarama), kinds, days, seed);
 }
-
-const dataCentreCount = 9;
-const workersPerDataCentre = 88;
-const workersPerRack = 11;
-const acceleratorsPerWorker = 2;
-const accountCount = 180;
-const jobsPerDay = 1_200;
-
-/**
- * The size to design for: 792 workers with 1,584 accelerators in nine data centres, 180 accounts,
- * 1,200 jobs a day, gangs up to 64 tasks.
- */
-export function createTwoYear(days: number, seed: number): Workload {
-  const names = Array.from({ length: dataCentreCount }, (_, index) => `dc-${index}`);
-  const builder = new ConfigurationBuilder({
-    name: 'two-year',
-    region: 'north',
-    dataCentres: names,
-    completionWeight: 0.5,
-  });
-  names.forEach((name) => {
-    builder.workers(name, {
-      count: workersPerDataCentre,
-      workersPerRack,
-      cores: 30,
-      memoryGb: 130,
-      accelerators: acceleratorsPerWorker,
-      guards: true,
-    });
-  });
-  const kinds = Array.from({ length: accountCount }, (_, index) => {
-    const dataCentre = names[index % dataCentreCount] ?? '';
-    return addAccount(builder, `team-${index}`, dataCentre, Math.floor(index / dataCentreCount));
-  }).flat();
-  return toWorkload('two-year', configurationOf(builder), kinds, days, seed);
-}
-
-// The twenty accounts of a data centre differ in what they run: a few large, most small.
-function addAccount(
-  builder: ConfigurationBuilder,
-  account: string,
-  dataCentre: string,
-  rank: number,
-): JobKind[] {
-  builder.account(account, { weight: 1, requestLimit: 50, acceleratorLimit: 176 });
-  const perDay = jobsPerDay / accountCount;
-  const place = { account, dataCentre, hours: [0, 24] as const, perDay };
-  const hasGuarantee = rank < 8;
-  if (hasGuarantee) {
-    builder.guarantee(`${account}-shape`, {
-      account,
-      dataCentre,
-      shape: shape(4, 2, true),
-      count: 1,
-    });
-  }
-  const byRank: JobKind[] = [
-    {
-      ...place,
-      name: 'training',
-      shape: shape(64, 1),
-      urgency: 'batch',
-      perDay: perDay / 8,
-      meanRunMs: 6 * hourMs,
-      burst: 1,
-    },
-    {
-      ...place,
-      name: 'matching',
-      shape: shape(16, 2),
-      urgency: 'batch',
-      perDay: perDay / 3,
-      meanRunMs: 6 * hourMs,
-      burst: 1,
-    },
-    {
-      ...place,
-      name: 'gang',
-      shape: shape(4, 2, true),
-      urgency: 'normal',
-      perDay: perDay * 0.7,
-      meanRunMs: 6 * hourMs,
-      burst: 1,
-    },
-    {
-      ...place,
-      name: 'triage',
-      shape: shape(1, 1),
-      urgency: 'urgent',
-      perDay: perDay * 2,
-      meanRunMs: 10 * minuteMs,
-      burst: 2,
-    },
-    {
-      ...place,
-      name: 'single',
-      shape: shape(2, 1),
-      urgency: 'normal',
-      perDay: perDay * 0.9,
-      meanRunMs: 6 * hourMs,
-      burst: 2,
-    },
-  ];
-  return [byRank[rank < 1 ? 0 : 1 + (rank % 4)] as JobKind];
-}
--- a/packages/faults/src/PromiseChecks.ts
+++ b/packages/faults/src/PromiseChecks.ts
@@ -6,7 +6,7 @@
 import { canPlaceTogether } from '@apricothoist/testing';
 
 import type { VirtualWorld } from './VirtualWorld.js';
-import { acceleratorsPerWorker, workersPerRack } from './VirtualWorld.js';
+import { acceleratorsPerWorker, workersPerRack } from './virtualDeployment.js';
 
 /** The eight promises that every cell is checked against. */
 export const PromiseName = {
--- a/packages/faults/src/VirtualWorld.ts
+++ b/packages/faults/src/VirtualWorld.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@apricothoist/common';
 import type { Configuration } from '@apricothoist/config';
-import { Adjacency, ConfigurationBuilder, parseConfiguration } from '@apricothoist/config';
+import { parseConfiguration } from '@apricothoist/config';
 import type { EntryCore } from '@apricothoist/daemon/core';
 import { planPrefix } from '@apricothoist/daemon/core';
 import type { ListedInstance } from '@apricothoist/platform';
@@ -10,6 +10,20 @@
 import { install } from '@sinonjs/fake-timers';
 
 import { VirtualCaller } from './VirtualCaller.js';
+import {
+  acceleratorsPerWorker,
+  checkpointMs,
+  configurationText,
+  dataCentres,
+  endpointSlots,
+  endpointsPerDataCentre,
+  instancesPerDataCentre,
+  minuteMs,
+  runMs,
+  startTime,
+  workerCount,
+  workersPerRack,
+} from './virtualDeployment.js';
 import { VirtualEndpoint } from './VirtualEndpoint.js';
 import { createVirtualCore } from './VirtualInstance.js';
 import type { VirtualMesh } from './VirtualMesh.js';
@@ -33,64 +47,6 @@
   readonly at: number;
 }
 
-export const dataCentres = ['a', 'b'] as const;
-export const acceleratorsPerWorker = 8;
-export const workersPerRack = 3;
-const instancesPerDataCentre = 2;
-const workerCount = 6;
-const endpointsPerDataCentre = 3;
-const endpointSlots = 4;
-const startTime = 1_000_000;
-const checkpointMs = 300;
-const minuteMs = 60_000;
-
-/** Work in milliseconds of the jobs of this world. */
-export const runMs = 30_000;
-
-/** The reviewed configuration; the number only makes texts differ. */
-export function configurationText(limit: number): string {
-  const account = { weight: 1, requestLimit: 100, acceleratorLimit: 1_000 };
-  const builder = new ConfigurationBuilder({
-    name: 'virtual',
-    region: 'north',
-    dataCentres,
-    completionWeight: 0.5,
-  })
-    .account('guaranteed', { ...account, requestLimit: limit })
-    .account('borrowing', account)
-    .guarantee('pair', {
-      account: 'guaranteed',
-      dataCentre: 'a',
-      shape: { workers: 2, acceleratorsPerWorker, adjacency: Adjacency.rack },
-      count: 1,
-    })
-    .guarantee('single', {
-      account: 'guaranteed',
-      dataCentre: 'a',
-      shape: { workers: 1, acceleratorsPerWorker: 4, adjacency: Adjacency.any },
-      count: 4,
-    })
-    .service('service', {
-      endpointSlots,
-      endpointConnections: 60,
-      maxBodyBytes: 1_000,
-      maxHeaderBytes: 1_000,
-      timeoutMs: 1_000,
-      retryPercent: 50,
-    });
-  dataCentres.forEach((name) => {
-    builder.workers(name, {
-      count: workerCount,
-      workersPerRack,
-      cores: 8,
-      memoryGb: 8,
-      accelerators: acceleratorsPerWorker,
-      guards: true,
-    });
-  });
-  return builder.print();
-}
-
 /**
  * A small deployment in virtual time: the product's cores over fakes of everything else. One
  * world at a time, because it replaces the process's timers.
--- a/packages/faults/src/flows.ts
+++ b/packages/faults/src/flows.ts
@@ -2,7 +2,7 @@
 import type { Shape } from '@apricothoist/scheduler';
 
 import type { VirtualWorld } from './VirtualWorld.js';
-import { acceleratorsPerWorker } from './VirtualWorld.js';
+import { acceleratorsPerWorker } from './virtualDeployment.js';
 
 /** Something the system does, at any step of which a fault may come. */
 export interface Flow {
