--- a/packages/daemon/src/CallerListener.test.ts
+++ b/packages/daemon/src/CallerListener.test.ts
@@ -2,9 +2,9 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
-import { Random, Secret, SystemClock } from '@apricothoist/common';
+import { delay, Random, Secret, SystemClock } from '@apricothoist/common';
 import type { Configuration } from '@apricothoist/config';
-import { ConfigurationBuilder, parseConfiguration } from '@apricothoist/config';
+import { ConfigurationBuilder, parseConfiguration, printConfiguration } from '@apricothoist/config';
 import { ClaimResult } from '@apricothoist/router';
 import { EndpointServer } from '@apricothoist/testing';
 import test from 'ava';
@@ -233,3 +233,17 @@
   listener.server.closeAllConnections();
   await listener[Symbol.asyncDispose]();
 });
+
+test('a changed service answers what is open and serves on', async (t) => {
+  await using backend = await startEndpoint('e0', 150);
+  await using entry = await start([backend.address]);
+  const open = post(entry.url, 'first');
+  await delay(50);
+  const text = printConfiguration(createConfiguration()).replace(
+    'timeout-ms = 400',
+    'timeout-ms = 900',
+  );
+  entry.routers.configure(parseConfiguration(text, 'test')._unsafeUnwrap());
+  t.is((await post(entry.url, 'second')).status, 200);
+  t.is((await open).status, 200);
+});
--- a/packages/daemon/src/ServiceRouters.ts
+++ b/packages/daemon/src/ServiceRouters.ts
@@ -1,5 +1,5 @@
 import type { Clock, Event } from '@apricothoist/common';
-import { Disposables, Emitter, Random } from '@apricothoist/common';
+import { Emitter, Random } from '@apricothoist/common';
 import type { Configuration, ServiceSection } from '@apricothoist/config';
 import type { ListedInstance } from '@apricothoist/platform';
 import { InstanceRole, ListedState } from '@apricothoist/platform';
@@ -14,6 +14,7 @@
   readonly section: ServiceSection;
   readonly endpoints: EndpointTable;
   readonly router: RequestRouter<RequestContent, AnswerContent>;
+  readonly sender: ServiceSender;
 }
 
 /** What the routers of all services share. */
@@ -31,7 +32,8 @@
 export class ServiceRouters implements AsyncDisposable {
   private readonly routers = new Map<string, ServiceRouter>();
 
-  private readonly owned = new Disposables();
+  /** Routers of former configurations that still have requests to answer. */
+  private readonly retiring = new Set<Promise<void>>();
 
   private configuration: Configuration | undefined;
 
@@ -71,14 +73,16 @@
     Object.entries(configuration.service).forEach(([name, section]) => {
       const known = this.routers.get(name);
       if (known === undefined || JSON.stringify(known.section) !== JSON.stringify(section)) {
+        this.retire(known);
         this.routers.set(name, this.create(name, section));
       }
     });
-    this.routers.forEach((_, name) => {
-      if (configuration.service[name] === undefined) {
-        this.routers.delete(name);
-      }
-    });
+    this.all
+      .filter(({ name }) => configuration.service[name] === undefined)
+      .forEach((service) => {
+        this.routers.delete(service.name);
+        this.retire(service);
+      });
   }
 
   public updateListed(listed: readonly ListedInstance[]): void {
@@ -112,16 +116,28 @@
   }
 
   public async [Symbol.asyncDispose](): Promise<void> {
-    await this.owned[Symbol.asyncDispose]();
+    this.all.forEach((service) => this.retire(service));
+    await Promise.all(this.retiring);
     this.leaving[Symbol.dispose]();
   }
 
+  // Answers what is open under the former section, then releases what it owned.
+  private retire(service: ServiceRouter | undefined): void {
+    if (service === undefined) {
+      return;
+    }
+    const ended = service.router[Symbol.asyncDispose]().then(() => {
+      service.sender[Symbol.dispose]();
+      this.retiring.delete(ended);
+    });
+    this.retiring.add(ended);
+  }
+
   private create(name: string, section: ServiceSection): ServiceRouter {
     const { clock, instanceId, claims, peers, seed } = this.context;
     const random = new Random(seed);
     const endpoints = new EndpointTable(instanceId, section['endpoint-slots'], random);
     const sender = this.context.createSender(section);
-    this.owned.register(sender);
     const limits = { timeoutMs: section['timeout-ms'], retryPercent: section['retry-percent'] };
     const router = new RequestRouter<RequestContent, AnswerContent>(
       {
@@ -136,11 +152,10 @@
       },
       limits,
     );
-    this.owned.register(router);
     router.onEndpointLeaving((endpointId) => this.leaving.fire(endpointId));
     this.updateEndpoints(name, endpoints);
     endpoints.setMembers(this.members);
-    return { name, section, endpoints, router };
+    return { name, section, endpoints, router, sender };
   }
 
   private updateEndpoints(service: string, endpoints: EndpointTable): void {
