--- a/packages/daemon/src/core.ts
+++ b/packages/daemon/src/core.ts
@@ -11,6 +11,7 @@
 export { EntryCore } from './EntryCore.js';
 export { LeaderLease } from './LeaderLease.js';
 export { PlanKeeper, planPrefix } from './PlanKeeper.js';
+export { RenewalFence } from './RenewalFence.js';
 export { ServiceRouters } from './ServiceRouters.js';
 export { StoreClaims } from './StoreClaims.js';
 export { lostAfterMs, taskLeaseMs, WorkerGateway } from './WorkerGateway.js';
--- a/packages/faults/src/defects.ts
+++ b/packages/faults/src/defects.ts
@@ -1,4 +1,4 @@
-import { ConfigurationKeeper, StoreClaims } from '@apricothoist/daemon/core';
+import { ConfigurationKeeper, RenewalFence, StoreClaims } from '@apricothoist/daemon/core';
 import { AttemptOutcome, ClaimResult, EndpointTable, RequestRouter } from '@apricothoist/router';
 import { GuaranteeWitness, PlacementSearch } from '@apricothoist/scheduler';
 import { WorkerModel } from '@apricothoist/testing';
@@ -86,6 +86,13 @@
       });
     },
   },
+  {
+    name: 'a lost part is taken for ended at once',
+    promise: PromiseName.wholeGangs,
+    flow: 'gang run',
+    fault: 'busy worker cut from all instances',
+    plant: () => replace(RenewalFence, { revision: () => Infinity }),
+  },
   {
     name: 'answers reach the caller before',
     promise: PromiseName.ownAnswers,
