Ports of deployments from a block below the range of outgoing connections

Cause: the capacity bench failed once: an instance's port, found free, was taken by an outgoing connection before its listener opened. The same could make the real-process tests flaky. What: each process looks in a block of its own below that range.

--- a/packages/demo/src/Deployment.ts
+++ b/packages/demo/src/Deployment.ts
@@ -1,7 +1,5 @@
 import { execFile, spawn } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -14,6 +12,7 @@
 
 import type { StandIn } from './DemoProcess.js';
 import { DemoProcess, startStandIn } from './DemoProcess.js';
+import { findFreePorts } from './findFreePorts.js';
 
 /** One entry instance of the deployment. */
 export interface EntryInstance {
@@ -217,7 +216,7 @@
   }
 
   private async startInstance(name: string, dataCentre: string): Promise<void> {
-    const [caller = 0, operator = 0, mesh = 0] = await freePorts(3);
+    const [caller = 0, operator = 0, mesh = 0] = await findFreePorts(3);
     const settingsFile = await this.write(
       `${name}.ini`,
       [
@@ -270,25 +269,3 @@
 export function postJson(url: string, body: object): Promise<Response> {
   return fetch(url, { method: 'POST', body: JSON.stringify(body) });
 }
-
-async function freePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      await new Promise<void>((resolve) => {
-        server.listen(0, '127.0.0.1', () => resolve());
-      });
-      return server;
-    }),
-  );
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<void>((resolve) => {
-          server.close(() => resolve());
-        }),
-    ),
-  );
-  return ports;
-}
