The plan is not polled and an unchanged instance list is not sent

Cause: working out docs/CAPACITY.md: at the two-year size a plan of 82 KB read every 3 s is 27 KB/s, and the list of 900 rows once a second is over 100 KB/s, against a budget of 2 KB/s. What: the watch's quiet answers confirm the plan, a read that failed is tried again; the list is read with If-None-Match.

--- a/packages/daemon/src/EntryCore.ts
+++ b/packages/daemon/src/EntryCore.ts
@@ -22,7 +22,8 @@
 import { taskLeaseMs, WorkerGateway } from './WorkerGateway.js';
 
 const configurationPollMs = 3_000;
-const planPollMs = 3_000;
+/** How often a read of the plan that failed is tried again. */
+const planRetryMs = 3_000;
 const fenceIntervalMs = 1_000;
 
 /**
@@ -61,6 +62,9 @@
 
   private isLeaving = false;
 
+  /** Whether a change of the plan may not have been read yet. */
+  private isPlanMissed = true;
+
   private readonly failed = new Emitter<unknown>();
 
   /** Fires with an error that nothing else has handled. */
@@ -137,10 +141,11 @@
   public start(): void {
     this.follow(() => this.readList(), this.settings.listIntervalMs);
     this.follow(() => this.refreshConfiguration(), configurationPollMs);
-    this.follow(() => this.refreshPlan(), planPollMs);
+    this.follow(() => this.retryPlan(), planRetryMs);
     this.follow(async () => this.noteFence(), fenceIntervalMs);
     this.watch(configurationPrefix, () => this.refreshConfiguration());
-    this.watch(this.plan.key, () => this.refreshPlan());
+    const planWatch = this.watch(this.plan.key, () => this.refreshPlan());
+    planWatch.onConfirm(() => this.plan.noteConfirmed());
     this.runner.start();
   }
 
@@ -210,7 +215,7 @@
     this.owned.register(task).start();
   }
 
-  private watch(prefix: string, react: () => Promise<void>): void {
+  private watch(prefix: string, react: () => Promise<void>): StoreWatch {
     const watch = new StoreWatch(
       this.store,
       this.services.transport,
@@ -223,6 +228,7 @@
       react().catch((error: unknown) => this.failed.fire(error));
     });
     this.owned.register(watch).start();
+    return watch;
   }
 
   private async readList(): Promise<void> {
@@ -256,8 +262,16 @@
     }
   }
 
+  // The watch tells of changes, so the plan, which may be large, is not polled.
   private async refreshPlan(): Promise<void> {
-    await this.plan.refresh();
+    this.isPlanMissed = true;
+    this.isPlanMissed = (await this.plan.refresh()).isErr();
+  }
+
+  private async retryPlan(): Promise<void> {
+    if (this.isPlanMissed) {
+      await this.refreshPlan();
+    }
   }
 
   private updateMembers(): void {
--- a/packages/daemon/src/PlanKeeper.ts
+++ b/packages/daemon/src/PlanKeeper.ts
@@ -93,6 +93,13 @@
     return ok(this.plan);
   }
 
+  /** Notes that the store's plan has not changed since it was read. */
+  public noteConfirmed(): void {
+    if (this.version !== undefined) {
+      this.confirmedAt = this.clock.wall();
+    }
+  }
+
   /** Takes over a plan that a peer knows, if it is newer. */
   public offer(candidate: unknown, confirmedAt: number): void {
     const checked = planSchema.safeParse(candidate);
--- a/packages/platform/src/StoreWatch.ts
+++ b/packages/platform/src/StoreWatch.ts
@@ -21,6 +21,11 @@
   /** Fires with the keys that changed. */
   public readonly onChange: Event<readonly string[]> = this.changed.event;
 
+  private readonly confirmed = new Emitter<void>();
+
+  /** Fires when the store has answered that nothing changed. */
+  public readonly onConfirm: Event<void> = this.confirmed.event;
+
   private readonly task: PeriodicTask;
 
   private revision = 0;
@@ -61,11 +66,14 @@
     this.nextDelayMs = 0;
     if (changes.value.keys.length > 0) {
       this.changed.fire(changes.value.keys);
+    } else {
+      this.confirmed.fire();
     }
   }
 
   public async [Symbol.asyncDispose](): Promise<void> {
     this.changed[Symbol.dispose]();
+    this.confirmed[Symbol.dispose]();
     await this.task[Symbol.asyncDispose]();
   }
 }
--- a/packages/testing/src/InstanceListServer.ts
+++ b/packages/testing/src/InstanceListServer.ts
@@ -8,6 +8,11 @@
 
   private isDown = false;
 
+  private version = 0;
+
+  /** Answers that carried the rows. */
+  public fullAnswers = 0;
+
   private readonly server = new LoopbackServer(async (request, response, body) => {
     if (request.url === '/control') {
       this.isDown = (JSON.parse(body) as { isDown: boolean }).isDown;
@@ -16,7 +21,15 @@
       return;
     } else if (request.method === 'PUT') {
       this.rows = (JSON.parse(body) as { instances: ListedInstance[] }).instances;
+      this.version += 1;
+    }
+    const tag = `"${this.version}"`;
+    response.setHeader('etag', tag);
+    if (request.headers['if-none-match'] === tag) {
+      response.writeHead(304).end();
+      return;
     }
+    this.fullAnswers += 1;
     sendJson(response, 200, { instances: this.rows });
   });
 
