A successor renews in time; a refused mesh peer that resets cannot end the process

The same would have ended the daemon. New test: 20 refused peers that reset. What: the scheduler's lease is 4 s, the runner steps every 500 ms, and a worker is called again at once after its first report. Ruled out: longer task leases (they bound how long a part may run alone).

--- a/packages/daemon/src/LeaderLease.ts
+++ b/packages/daemon/src/LeaderLease.ts
@@ -9,9 +9,11 @@
   readonly until: number;
 }
 
-const leaseMs = 6_000;
+// A successor has to renew running tasks before their own leases end: this lease, one step of the
+// runner and two calls of the workers together stay below what is left of a task's lease.
+const leaseMs = 4_000;
 /** Renewed when less than this is left, in milliseconds. */
-const renewBeforeMs = 4_000;
+const renewBeforeMs = 2_500;
 /** Milliseconds before the end at which the holder stops relying on the lease. */
 const safetyMs = 1_000;
 
--- a/packages/daemon/src/PlanRunner.ts
+++ b/packages/daemon/src/PlanRunner.ts
@@ -27,7 +27,7 @@
 /** Interval in milliseconds of steps while attempts change, which have deadlines. */
 const busyStepMs = 100;
 /** The same while all attempts run; reports and changes wake the runner besides. */
-const calmStepMs = 1_000;
+const calmStepMs = 500;
 /** Milliseconds that a new leader waits for the workers' first reports. */
 const rebuildLimitMs = 3_000;
 /** Milliseconds for which tasks are renewed without word from the store. */
--- a/packages/daemon/src/WorkerGateway.ts
+++ b/packages/daemon/src/WorkerGateway.ts
@@ -217,6 +217,10 @@
       return;
     }
     const before = describeObservation(entry.observation);
+    if (entry.observation.planRevision < 0 && this.planned.has(report.workerId)) {
+      // The first report allows a renewal, which may be urgent after a take-over.
+      entry.dueAt = 0;
+    }
     entry.isReachable = true;
     entry.observation = {
       workerId: report.workerId,
--- a/packages/mesh/src/MeshServer.ts
+++ b/packages/mesh/src/MeshServer.ts
@@ -39,6 +39,8 @@
     private readonly handlers: MeshServerHandlers,
   ) {
     server.on('upgrade', (request, socket, head) => {
+      // Without a listener, a peer that resets the connection would end the process.
+      socket.on('error', () => socket.destroy());
       if (request.url !== meshPath) {
         handlers.onRejected(`unknown protocol "${request.url}"`);
         socket.end(notFoundAnswer);
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { connect } from 'node:net';
 
 import { delay, Secret, SystemClock } from '@apricothoist/common';
 import test from 'ava';
@@ -166,6 +167,24 @@
   t.is(two.node.membership.alive().length, 0);
 });
 
+test('a refused peer that resets its connection does not end the process', async (t) => {
+  await using one = await startNode('one');
+  const rejected: string[] = [];
+  one.node.onRejected((reason) => rejected.push(reason));
+  const [host = '', port = ''] = one.address.split(':');
+  for (let turn = 0; turn < 20; turn += 1) {
+    const socket = connect(Number(port), host);
+    socket.on('error', () => {});
+    socket.write(
+      `GET ${meshPath} HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n`,
+    );
+    await until(() => rejected.length > turn);
+    socket.resetAndDestroy();
+  }
+  await delay(50);
+  t.is(rejected.length, 20);
+});
+
 test('malformed and oversized frames close the link with a reason', async (t) => {
   await using one = await startNode('one');
   const send = async (frame: Buffer): Promise<number> => {
