--- a/packages/demo/src/realProcesses.test.ts
+++ b/packages/demo/src/realProcesses.test.ts
@@ -115,6 +115,7 @@
 
 async function checkSingleAttempts(t: ExecutionContext, deployment: Deployment): Promise<void> {
   const runs = await readRuns(deployment);
+  t.true(runs.length > 0);
   runs.forEach((run) => {
     const others = runs.filter(
       (other) => other.jobId === run.jobId && other.attemptId !== run.attemptId,
