--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -11,7 +11,7 @@
 import type { CoreServices } from './CoreServices.js';
 import { createStatusReport } from './createStatusReport.js';
 import { EntryCore } from './EntryCore.js';
-import type { EventLog } from './EventLog.js';
+import type { EventLog } from '@apricothoist/telemetry';
 import { EventKinds } from './events.js';
 import { HttpEndpointSender } from './HttpEndpointSender.js';
 import { InstanceEvents } from './InstanceEvents.js';
--- a/packages/daemon/src/InstanceEvents.ts
+++ b/packages/daemon/src/InstanceEvents.ts
@@ -1,9 +1,9 @@
 import { messageOf } from '@apricothoist/common';
 import type { Plan } from '@apricothoist/scheduler';
+import type { EventLog } from '@apricothoist/telemetry';
 
 import type { CallerListener } from './CallerListener.js';
 import type { EntryCore } from './EntryCore.js';
-import type { EventLog } from './EventLog.js';
 import { EventKinds } from './events.js';
 import type { OperatorListener } from './OperatorListener.js';
 import { PlanErrorKind } from './PlanKeeper.js';
--- a/packages/daemon/src/OperatorApi.ts
+++ b/packages/daemon/src/OperatorApi.ts
@@ -13,7 +13,7 @@
   PublishError,
 } from './ConfigurationStore.js';
 import { PublishErrorKind } from './ConfigurationStore.js';
-import type { EventLog } from './EventLog.js';
+import type { EventLog } from '@apricothoist/telemetry';
 import { EventKinds } from './events.js';
 import type { PlanError, PlanKeeper } from './PlanKeeper.js';
 import type { StatusReport } from './StatusReport.js';
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -8,7 +8,7 @@
 import { err, ok } from 'neverthrow';
 import { z } from 'zod';
 
-import { LogFormat, LogLevel } from './EventLog.js';
+import { LogFormat, LogLevel } from '@apricothoist/telemetry';
 
 /** Where a listener binds. */
 export interface ListenAddress {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,10 +1,10 @@
 import process from 'node:process';
 
 import { messageOf, SystemClock } from '@apricothoist/common';
+import { EventLog } from '@apricothoist/telemetry';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
-import { EventLog } from './EventLog.js';
 import { EventKinds } from './events.js';
 import { Instance } from './Instance.js';
 import type { Settings } from './Settings.js';
@@ -15,19 +15,26 @@
 
 async function runInstance(settings: Settings, settingsFile: string): Promise<void> {
   const { name } = settings.instance;
-  const log = new EventLog(name, settings.log.level, settings.log.format);
+  const clock = new SystemClock();
+  const log = new EventLog(name, settings.log.level, settings.log.format, clock);
+  const exit = (code: number): void => {
+    log[Symbol.asyncDispose]().then(
+      () => process.exit(code),
+      () => process.exit(code),
+    );
+  };
   const credentials = readCredentials(settings, settingsFile);
   if (credentials.isErr()) {
     process.stderr.write(`${credentials.error.message}\n`);
     process.exit(ExitCode.badSettings);
   }
-  const instance = new Instance(settings, credentials.value, new SystemClock(), log);
+  const instance = new Instance(settings, credentials.value, clock, log);
   const stop = (): void => {
     instance.stop().then(
-      () => process.exit(ExitCode.stopped),
+      () => exit(ExitCode.stopped),
       (error: unknown) => {
         log.emit(EventKinds.internalError, { message: messageOf(error) });
-        process.exit(ExitCode.failed);
+        exit(ExitCode.failed);
       },
     );
   };
@@ -40,7 +47,7 @@
     await instance.start();
   } catch (error) {
     log.emit(EventKinds.startFailed, { message: messageOf(error) });
-    process.exit(ExitCode.failed);
+    exit(ExitCode.failed);
   }
 }
 
--- /dev/null
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -0,0 +1,186 @@
+import type { JobRank } from './DispatchOrder.js';
+import { compareRanks, rankJob, Standing } from './DispatchOrder.js';
+import type { DispatchState } from './DispatchState.js';
+import { coveredJobs } from './Guarantees.js';
+import type { JobRun } from './JobRun.js';
+import { PlacementSearch } from './PlacementSearch.js';
+import { countFitting } from './Resources.js';
+import type { Placement } from './RoomLedger.js';
+import { countPlaces, isEligible, RoomLedger } from './RoomLedger.js';
+import type { Runner } from './Runner.js';
+import type { UnitLifecycle } from './UnitLifecycle.js';
+import type { Unit } from './Unit.js';
+import { UnitPhase } from './Unit.js';
+import { VictimSearch } from './VictimSearch.js';
+
+/** Milliseconds beyond the longest stop after which a reservation is given up and sought anew. */
+const reservationSlackMs = 1_500;
+
+/** One pass over all waiting units: who starts now, where, and who has to make room. */
+export class DispatchRound {
+  private readonly ledger: RoomLedger;
+
+  private readonly places: PlacementSearch;
+
+  private readonly covered: ReadonlySet<JobRun>;
+
+  private readonly usable: readonly Runner[];
+
+  public constructor(
+    private readonly state: DispatchState,
+    private readonly lifecycle: UnitLifecycle,
+    private readonly now: number,
+  ) {
+    this.usable = [...state.runners.values()].filter((runner) => isUsable(runner, now));
+    this.startReserved();
+    this.ledger = new RoomLedger(this.usable);
+    this.places = new PlacementSearch(this.ledger);
+    this.covered = coveredJobs(state.jobs.values(), state.accounts);
+  }
+
+  public run(): void {
+    this.ranks().forEach((rank) => this.serve(rank));
+  }
+
+  private ranks(): JobRank[] {
+    const { estimates } = this.state;
+    return [...this.state.jobs.values()]
+      .filter((job) => !job.isOver && this.waitingUnits(job).length > 0)
+      .map((job) => rankJob(job, this.covered.has(job), estimates, this.now))
+      .sort(compareRanks);
+  }
+
+  private waitingUnits(job: JobRun): Unit[] {
+    return [...job.units.values()].filter(
+      (unit) =>
+        unit.phase === UnitPhase.waiting && unit.retryAt <= this.now && job.isReady(unit),
+    );
+  }
+
+  private serve(rank: JobRank): void {
+    const fullSteps = new Set<number>();
+    this.waitingUnits(rank.job).forEach((unit) => {
+      // Units of one step are alike: where one finds no place, the others do not either.
+      if (fullSteps.has(unit.stepIndex)) {
+        return;
+      }
+      if (!this.place(unit, rank)) {
+        fullSteps.add(unit.stepIndex);
+      }
+    });
+  }
+
+  private place(unit: Unit, rank: JobRank): boolean {
+    const placement = this.places.find(unit, !this.couldFitNear(unit));
+    if (placement !== undefined) {
+      this.ledger.take(unit, placement);
+      this.lifecycle.order(unit, placement, this.now);
+      return true;
+    }
+    const mayReclaim = rank.isUrgent && (rank.isGuaranteed || rank.standing !== Standing.hopeless);
+    return mayReclaim && this.reclaim(unit, rank);
+  }
+
+  private reclaim(unit: Unit, rank: JobRank): boolean {
+    const search = new VictimSearch(this.ledger, this.now, (victim) => this.mayStop(victim, rank));
+    const found = search.find(unit);
+    if (found === undefined) {
+      return false;
+    }
+    unit.apply('reserve');
+    unit.reservedUntil = this.now + this.state.bounds.stopMs + reservationSlackMs;
+    found.placement.forEach((count, runnerId) => {
+      this.state.runners.get(runnerId)?.reservations.set(unit, count);
+    });
+    this.ledger.take(unit, found.placement);
+    this.state.log.decide('unitReserved', {
+      job: unit.job.id,
+      unit: unit.key,
+      runners: [...found.placement.keys()].join(','),
+      victims: found.victims.map((victim) => `${victim.job.id}.${victim.key}`).join(','),
+      isGuaranteed: rank.isGuaranteed,
+    });
+    found.victims.forEach((victim) => this.lifecycle.abort(victim, 'reclaimed', this.now));
+    return true;
+  }
+
+  // Guaranteed jobs may take from everybody else, other urgent ones from less urgent queues.
+  private mayStop(victim: Unit, rank: JobRank): boolean {
+    if (victim.step.isLasting || victim.phase === UnitPhase.stopping) {
+      return false;
+    }
+    const { job } = victim;
+    if (job.queue.priority > rank.job.queue.priority) {
+      return true;
+    }
+    return rank.isGuaranteed && !this.covered.has(job);
+  }
+
+  // Whether the rack of the data, or some rack for a gang that prefers one, could ever hold the
+  // unit.
+  private couldFitNear(unit: Unit): boolean {
+    const { dataRack, prefersOneRack } = unit.step;
+    const racks = this.ledger.byRack;
+    const candidates = dataRack === undefined ? [...racks.values()] : [racks.get(dataRack) ?? []];
+    if (dataRack === undefined && (!prefersOneRack || unit.members.length === 1)) {
+      return false;
+    }
+    return candidates.some((rooms) => {
+      const places = rooms
+        .filter(({ runner }) => isEligible(unit, runner))
+        .reduce((sum, { runner }) => sum + countFitting(unit.size, runner.listed.capacity), 0);
+      return places >= unit.members.length;
+    });
+  }
+
+  // Starts reserved units whose places are all empty by now, and drops reservations that take too
+  // long or whose runners cannot be used any more.
+  private startReserved(): void {
+    this.state.jobs.forEach((job) => {
+      job.units.forEach((unit) => {
+        if (unit.phase !== UnitPhase.reserved) {
+          return;
+        }
+        const placement = this.reservedPlacement(unit);
+        const isLost = [...placement.keys()].some(
+          (runnerId) => !this.usable.some((runner) => runner.id === runnerId),
+        );
+        if (isLost || placement.size === 0 || this.now > unit.reservedUntil) {
+          this.lifecycle.release(unit);
+        } else if (this.isEmpty(unit, placement)) {
+          this.lifecycle.forgetReservation(unit);
+          this.lifecycle.order(unit, placement, this.now);
+        }
+      });
+    });
+  }
+
+  private reservedPlacement(unit: Unit): Placement {
+    const placement = new Map<string, number>();
+    this.state.runners.forEach((runner) => {
+      const count = runner.reservations.get(unit);
+      if (count !== undefined) {
+        placement.set(runner.id, count);
+      }
+    });
+    return placement;
+  }
+
+  private isEmpty(unit: Unit, placement: Placement): boolean {
+    return [...placement].every(([runnerId, count]) => {
+      const runner = this.state.runners.get(runnerId);
+      return runner !== undefined && countPlaces(unit, runner, runner.room) >= count;
+    });
+  }
+}
+
+/** Whether something new may start on the runner. */
+export function isUsable(runner: Runner, now: number): boolean {
+  return (
+    runner.isListed &&
+    !runner.isDraining &&
+    runner.isFenced &&
+    runner.silentCalls === 0 &&
+    runner.heldBackUntil <= now
+  );
+}
--- /dev/null
+++ b/packages/dispatch/src/DispatchState.ts
@@ -0,0 +1,79 @@
+import { DurationEstimates } from './DurationEstimates.js';
+import type { Account, Queue } from './Job.js';
+import type { JobRun } from './JobRun.js';
+import type { Runner } from './Runner.js';
+
+/** An order to start one task; to be sent once the job's progress is stored. */
+export interface StartOrder {
+  readonly runnerId: string;
+  readonly jobId: string;
+  readonly task: string;
+  readonly run: number;
+  readonly payload: string;
+  /** Progress to resume from; empty: none. */
+  readonly saved: string;
+}
+
+/** An order to stop one run of a task. */
+export interface StopOrder {
+  readonly runnerId: string;
+  readonly task: string;
+  readonly run: number;
+}
+
+/** Details of a decision, by name. */
+export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Takes one line for each decision. */
+export interface DecisionLog {
+  decide(kind: DecisionKind, fields: DecisionFields): void;
+}
+
+/** What the dispatcher decides or learns; each has a numbered log event. */
+export type DecisionKind =
+  | 'jobQueued'
+  | 'jobEnded'
+  | 'unitOrdered'
+  | 'unitReserved'
+  | 'unitStarted'
+  | 'unitAborted'
+  | 'unitDone'
+  | 'runnerListed'
+  | 'runnerDraining'
+  | 'runnerUnlisted'
+  | 'runnerReborn'
+  | 'runnerHeldBack'
+  | 'runnerLapsed'
+  | 'orphanStopped';
+
+/** Times that the platform guarantees, in milliseconds. */
+export interface DispatchBounds {
+  /** Longest time a task takes to stop. */
+  readonly stopMs: number;
+  /** Longest lease that a runner grants. */
+  readonly maxLeaseMs: number;
+  /** Slowdown of a task away from the rack of its data, or of a gang spread over racks. */
+  readonly farSlowdown: number;
+}
+
+/** Everything that the scheduling instance believes. */
+export class DispatchState {
+  public readonly jobs = new Map<string, JobRun>();
+
+  public readonly runners = new Map<string, Runner>();
+
+  public queues: ReadonlyMap<string, Queue> = new Map();
+
+  public accounts: ReadonlyMap<string, Account> = new Map();
+
+  public readonly estimates = new DurationEstimates();
+
+  public starts: StartOrder[] = [];
+
+  public stops: StopOrder[] = [];
+
+  public constructor(
+    public readonly bounds: DispatchBounds,
+    public readonly log: DecisionLog,
+  ) {}
+}
--- /dev/null
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -0,0 +1,374 @@
+import { DispatchRound } from './DispatchRound.js';
+import { remainingChain } from './DispatchOrder.js';
+import type { DispatchBounds, DecisionLog, StartOrder, StopOrder } from './DispatchState.js';
+import { DispatchState } from './DispatchState.js';
+import type { Account, JobSpecification, Queue } from './Job.js';
+import { JobState } from './Job.js';
+import { JobRun } from './JobRun.js';
+import type { ProgressRecord } from './ProgressRecord.js';
+import type { RunnerReport } from './ReportReader.js';
+import { ReportReader } from './ReportReader.js';
+import type { ListedRunner } from './Runner.js';
+import { occupantKey, Runner } from './Runner.js';
+import { reportBadSign, RunnerSign } from './RunnerSigns.js';
+import type { Unit } from './Unit.js';
+import { MemberState, UnitPhase } from './Unit.js';
+import type { StartOutcome } from './UnitLifecycle.js';
+import { UnitLifecycle } from './UnitLifecycle.js';
+
+/** Steady clocks of runners may run slow by this factor, as the platform states. */
+const slowClockFactor = 1.02;
+/** Milliseconds added to a lease before it counts as over, for delays of timers. */
+const leaseSlackMs = 150;
+/** Milliseconds without progress after which a running task counts as stalled. */
+const stalledMs = 2_500;
+/** Milliseconds after which an unanswered stop is ordered again. */
+const repeatStopMs = 700;
+/** Milliseconds for which jobs that are over are remembered. */
+const rememberMs = 600_000;
+/** Milliseconds that an unlisted runner is kept after the registry has dropped it. */
+const unlistedGraceMs = 2_000;
+
+/** What the dispatcher wants to be sent. */
+export interface Orders {
+  readonly starts: readonly StartOrder[];
+  readonly stops: readonly StopOrder[];
+}
+
+/**
+ * The scheduler of jobs: takes what happened, and gives the orders that follow. It does no I/O; all
+ * times are monotonic milliseconds unless a name says otherwise.
+ */
+export class Dispatcher {
+  public readonly state: DispatchState;
+
+  private readonly lifecycle: UnitLifecycle;
+
+  private readonly reports: ReportReader;
+
+  private readonly unlistedSince = new Map<string, number>();
+
+  private readonly stopOrderedAt = new Map<string, number>();
+
+  public constructor(bounds: DispatchBounds, log: DecisionLog) {
+    this.state = new DispatchState(bounds, log);
+    this.lifecycle = new UnitLifecycle(this.state);
+    this.reports = new ReportReader(this.state, this.lifecycle);
+  }
+
+  /** Takes the queues and accounts of a newer configuration. */
+  public configure(
+    queues: ReadonlyMap<string, Queue>,
+    accounts: ReadonlyMap<string, Account>,
+  ): void {
+    this.state.queues = queues;
+    this.state.accounts = accounts;
+    this.state.jobs.forEach((job) => {
+      job.queue = queues.get(job.specification.queue) ?? job.queue;
+    });
+  }
+
+  /**
+   * Adds a job with the progress that the store holds of it, if any.
+   *
+   * @param fallback the queue if the configuration does not have it any more
+   */
+  public addJob(
+    specification: JobSpecification,
+    fallback: Queue,
+    arrivedAt: number,
+    now: number,
+    stored?: { readonly progress: ProgressRecord; readonly version: number },
+  ): void {
+    if (this.state.jobs.has(specification.id)) {
+      return;
+    }
+    const queue = this.state.queues.get(specification.queue) ?? fallback;
+    const job = new JobRun(specification, queue, arrivedAt);
+    this.state.jobs.set(job.id, job);
+    if (stored !== undefined) {
+      job.storedVersion = stored.version;
+      this.restore(job, stored.progress, now);
+    }
+    this.state.log.decide('jobQueued', {
+      job: job.id,
+      queue: queue.name,
+      account: specification.account,
+      priority: queue.priority,
+      state: job.state,
+      steps: specification.steps.length,
+      tasks: specification.steps.reduce((sum, step) => sum + step.count, 0),
+    });
+  }
+
+  public cancelJob(id: string, now: number): void {
+    const job = this.state.jobs.get(id);
+    if (job !== undefined && !job.isOver) {
+      this.lifecycle.endJob(job, JobState.cancelled, 'cancelled by its client', now);
+    }
+  }
+
+  /** Takes the newest listing of the registry, in whole. */
+  public listRunners(listed: readonly ListedRunner[], now: number): void {
+    const ids = new Set(listed.map((runner) => runner.id));
+    listed.forEach((entry) => this.listRunner(entry, now));
+    this.state.runners.forEach((runner) => {
+      if (ids.has(runner.id) || !runner.isListed) {
+        return;
+      }
+      const since = this.unlistedSince.get(runner.id) ?? now;
+      this.unlistedSince.set(runner.id, since);
+      if (now - since >= unlistedGraceMs) {
+        runner.isListed = false;
+        this.state.log.decide('runnerUnlisted', { runner: runner.id });
+      }
+    });
+  }
+
+  public readReport(runnerId: string, report: RunnerReport, now: number): void {
+    const runner = this.state.runners.get(runnerId);
+    if (runner !== undefined) {
+      this.reports.read(runner, report, now);
+    }
+  }
+
+  /** A call to the runner was not answered. */
+  public noteSilence(runnerId: string): void {
+    const runner = this.state.runners.get(runnerId);
+    if (runner !== undefined) {
+      runner.silentCalls += 1;
+    }
+  }
+
+  /** A call that extends leases, or starts something, leaves now. */
+  public noteLease(runnerId: string, now: number): void {
+    const runner = this.state.runners.get(runnerId);
+    if (runner !== undefined) {
+      const lastsMs = this.state.bounds.maxLeaseMs * slowClockFactor + leaseSlackMs;
+      runner.leaseEnd = Math.max(runner.leaseEnd, now + lastsMs);
+    }
+  }
+
+  public answerStart(
+    runnerId: string,
+    task: string,
+    run: number,
+    outcome: StartOutcome,
+    now: number,
+  ): void {
+    const runner = this.state.runners.get(runnerId);
+    if (runner !== undefined) {
+      this.lifecycle.answerStart(runner, task, run, outcome, now);
+    }
+  }
+
+  public answerStop(runnerId: string, task: string, run: number, now: number): void {
+    const runner = this.state.runners.get(runnerId);
+    if (runner !== undefined) {
+      this.lifecycle.answerStop(runner, task, run, now);
+    }
+  }
+
+  /** Applies what time alone changes, decides, and returns the orders to be sent. */
+  public step(now: number, wallNow: number): Orders {
+    this.state.jobs.forEach((job) => {
+      if (!job.isOver && job.createDueUnits(wallNow)) {
+        job.isDirty = true;
+      }
+    });
+    this.state.runners.forEach((runner) => this.checkRunner(runner, now));
+    this.leaveDraining(now);
+    this.forget(now);
+    new DispatchRound(this.state, this.lifecycle, now).run();
+    const { starts, stops } = this.state;
+    this.state.starts = [];
+    this.state.stops = [];
+    stops.forEach(({ task, run }) => this.stopOrderedAt.set(occupantKey(task, run), now));
+    return { starts, stops };
+  }
+
+  /** Jobs whose progress has to be stored; they count as stored from now on. */
+  public takeDirty(): JobRun[] {
+    const dirty = [...this.state.jobs.values()].filter((job) => job.isDirty);
+    dirty.forEach((job) => {
+      job.isDirty = false;
+    });
+    return dirty;
+  }
+
+  /** Accepted jobs by queue of which no task has started. */
+  public countPending(): Map<string, number> {
+    const counts = new Map<string, number>();
+    this.state.jobs.forEach((job) => {
+      if (!job.isOver && !job.hasStarted) {
+        const { queue } = job.specification;
+        counts.set(queue, (counts.get(queue) ?? 0) + 1);
+      }
+    });
+    return counts;
+  }
+
+  private restore(job: JobRun, progress: ProgressRecord, now: number): void {
+    job.state = progress.state;
+    job.hasStarted = progress.hasStarted;
+    if (job.isOver) {
+      job.endedAt = now;
+      return;
+    }
+    while (job.createdOccurrences < progress.occurrences) {
+      job.createDueUnits(job.dueAt(job.createdOccurrences));
+    }
+    progress.done.forEach((key) => {
+      const unit = job.units.get(key);
+      if (unit !== undefined) {
+        unit.phase = UnitPhase.done;
+      }
+    });
+    progress.units.forEach(([key, run, failures, saved, runnerIds]) => {
+      const unit = job.units.get(key);
+      if (unit !== undefined) {
+        unit.run = run;
+        unit.failures = failures;
+        unit.saved = saved;
+        this.restorePlaces(unit, runnerIds, now);
+      }
+    });
+  }
+
+  // Members wait for the report of their runner, or for the end of the lease that the former
+  // scheduler may have extended until just now.
+  private restorePlaces(unit: Unit, runnerIds: readonly (string | null)[], now: number): void {
+    if (runnerIds.every((runnerId) => runnerId === null)) {
+      return;
+    }
+    unit.apply('order');
+    unit.orderedAt = now;
+    unit.members.forEach((member, position) => {
+      const runnerId = runnerIds[position] ?? undefined;
+      if (runnerId === undefined) {
+        member.state = MemberState.over;
+        return;
+      }
+      const runner = this.state.runners.get(runnerId) ?? this.addMissingRunner(unit, runnerId);
+      this.lifecycle.placeMember(unit, member, runner);
+      member.settledAt = now;
+      this.noteLease(runnerId, now);
+    });
+    if (unit.members.some((member) => member.state === MemberState.over)) {
+      this.lifecycle.abort(unit, 'a member had ended before the takeover', now);
+    }
+  }
+
+  private addMissingRunner(unit: Unit, id: string): Runner {
+    const runner = new Runner({
+      id,
+      address: '',
+      service: unit.job.queue.service,
+      dataCentre: '',
+      rack: '',
+      labels: [],
+      capacity: { cpu: 0, memoryMb: 0, accelerators: 0 },
+      isDraining: false,
+      bornAt: 0,
+    });
+    runner.isListed = false;
+    this.state.runners.set(id, runner);
+    return runner;
+  }
+
+  private listRunner(entry: ListedRunner, now: number): void {
+    const { log } = this.state;
+    this.unlistedSince.delete(entry.id);
+    const known = this.state.runners.get(entry.id);
+    if (known === undefined) {
+      this.state.runners.set(entry.id, new Runner(entry));
+      log.decide('runnerListed', { runner: entry.id, rack: entry.rack, address: entry.address });
+      return;
+    }
+    const isSameLife = known.listed.bornAt === entry.bornAt || known.listed.bornAt === 0;
+    if (!isSameLife && entry.bornAt > known.listed.bornAt) {
+      this.reports.restart(known, entry.bornAt, now);
+    }
+    if (entry.isDraining && !known.listed.isDraining) {
+      known.leavesAt = now + (entry.staysForMs ?? Infinity);
+      log.decide('runnerDraining', { runner: entry.id, staysForMs: entry.staysForMs });
+    }
+    if (!entry.isDraining) {
+      known.leavesAt = Infinity;
+    }
+    known.isListed = true;
+    if (entry.bornAt >= known.listed.bornAt) {
+      known.listed = entry;
+    }
+  }
+
+  private checkRunner(runner: Runner, now: number): void {
+    if (runner.occupants.size > 0 && runner.leaseEnd > 0 && now > runner.leaseEnd) {
+      this.state.log.decide('runnerLapsed', {
+        runner: runner.id,
+        tasks: runner.occupants.size,
+        silentMs: Math.round(now - runner.reportedAt),
+      });
+      this.reports.lose(runner, now);
+    }
+    runner.occupants.forEach(({ unit, member, run }) => {
+      const key = occupantKey(member.task, run);
+      const orderedAt = this.stopOrderedAt.get(key);
+      if (member.isStopOrdered && orderedAt !== undefined && now - orderedAt > repeatStopMs) {
+        this.state.stops.push({ runnerId: runner.id, task: member.task, run });
+      }
+      const isStalled =
+        unit.phase === UnitPhase.running &&
+        !unit.step.isLasting &&
+        runner.silentCalls === 0 &&
+        now - member.progressedAt > stalledMs &&
+        runner.reportedAt - member.progressedAt > stalledMs;
+      if (isStalled) {
+        reportBadSign(this.state, runner, RunnerSign.stalling, now);
+        this.lifecycle.abort(unit, 'no progress', now);
+      }
+    });
+  }
+
+  // Units that cannot end before their runner leaves are moved while their progress can be saved.
+  private leaveDraining(now: number): void {
+    this.state.runners.forEach((runner) => {
+      if (!runner.isDraining || runner.leavesAt === Infinity) {
+        return;
+      }
+      runner.occupants.forEach(({ unit }) => {
+        if (unit.phase !== UnitPhase.running) {
+          return;
+        }
+        const leftMs = remainingChain(unit.job, this.state.estimates, now);
+        if (now + Math.min(leftMs, this.unitLeftMs(unit, now)) > runner.leavesAt) {
+          this.lifecycle.abort(unit, 'its runner leaves', now);
+        }
+      });
+    });
+  }
+
+  private unitLeftMs(unit: Unit, now: number): number {
+    const fullMs = this.state.estimates.estimate(unit.job.queue.name, unit.step);
+    return Math.max(0, fullMs - (now - unit.startedAt));
+  }
+
+  private forget(now: number): void {
+    this.state.runners.forEach((runner) => {
+      if (!runner.isListed && runner.occupants.size === 0) {
+        this.state.runners.delete(runner.id);
+        this.unlistedSince.delete(runner.id);
+      }
+    });
+    this.state.jobs.forEach((job) => {
+      if (job.isOver && now - job.endedAt > rememberMs) {
+        this.state.jobs.delete(job.id);
+      }
+    });
+    this.stopOrderedAt.forEach((orderedAt, key) => {
+      if (now - orderedAt > rememberMs) {
+        this.stopOrderedAt.delete(key);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/PlacementSearch.ts
@@ -0,0 +1,88 @@
+import type { Placement, RoomLedger, RunnerRoom } from './RoomLedger.js';
+import { countPlaces, isEligible } from './RoomLedger.js';
+import type { Unit } from './Unit.js';
+
+/** A runner with the number of members that fit there. */
+interface Candidate {
+  readonly room: RunnerRoom;
+  readonly places: number;
+}
+
+/**
+ * Finds empty places for a unit, all of its members or none.
+ *
+ * Load pattern: many narrow tasks beside gangs that need whole runners of one rack. Narrow tasks
+ * go to the fullest runner that still takes them, and gangs to the fullest rack, so that empty
+ * runners and racks stay together for the widest gangs.
+ */
+export class PlacementSearch {
+  public constructor(private readonly ledger: RoomLedger) {}
+
+  /**
+   * @param mayLeaveRack whether members may also run away from the rack of their data, or spread
+   *   over racks, where they are slower
+   */
+  public find(unit: Unit, mayLeaveRack: boolean): Placement | undefined {
+    const { dataRack, prefersOneRack } = unit.step;
+    if (dataRack !== undefined) {
+      const near = this.findWithin(unit, this.ledger.byRack.get(dataRack) ?? []);
+      if (near !== undefined || !mayLeaveRack) {
+        return near;
+      }
+    }
+    if (prefersOneRack && unit.members.length > 1) {
+      const packed = this.findInOneRack(unit);
+      if (packed !== undefined || !mayLeaveRack) {
+        return packed;
+      }
+    }
+    return this.findWithin(unit, this.ledger.all);
+  }
+
+  private findInOneRack(unit: Unit): Placement | undefined {
+    let best: Placement | undefined;
+    let leastLeft = Infinity;
+    this.ledger.byRack.forEach((rooms) => {
+      const placement = this.findWithin(unit, rooms);
+      const left = rooms.reduce((sum, { free }) => sum + free.accelerators, 0);
+      if (placement !== undefined && left < leastLeft) {
+        best = placement;
+        leastLeft = left;
+      }
+    });
+    return best;
+  }
+
+  private findWithin(unit: Unit, rooms: readonly RunnerRoom[]): Placement | undefined {
+    const candidates = rooms
+      .filter(({ runner }) => isEligible(unit, runner))
+      .map((room) => ({ room, places: countPlaces(unit, room.runner, room.free) }))
+      .filter(({ places }) => places > 0)
+      .sort((left, right) => compareCandidates(unit, left, right));
+    const placement = new Map<string, number>();
+    let missing = unit.members.length;
+    for (const { room, places } of candidates) {
+      const count = Math.min(places, missing);
+      placement.set(room.runner.id, count);
+      missing -= count;
+      if (missing === 0) {
+        return placement;
+      }
+    }
+    return undefined;
+  }
+}
+
+// Runners where this unit failed come last, then the fullest runner comes first.
+function compareCandidates(unit: Unit, left: Candidate, right: Candidate): number {
+  const failures =
+    Number(unit.failedRunners.has(left.room.runner.id)) -
+    Number(unit.failedRunners.has(right.room.runner.id));
+  if (failures !== 0) {
+    return failures;
+  }
+  return (
+    left.room.free.accelerators - right.room.free.accelerators ||
+    left.room.free.cpu - right.room.free.cpu
+  );
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,20 @@
+/** Decisions about jobs on runners, free of I/O: order, placement, reclaim, retries, recovery. */
+export { isFinal, JobState } from './Job.js';
+export type { Account, JobSpecification, Queue, Step } from './Job.js';
+export type { Resources } from './Resources.js';
+export { Dispatcher } from './Dispatcher.js';
+export type { Orders } from './Dispatcher.js';
+export type {
+  DecisionFields,
+  DecisionKind,
+  DecisionLog,
+  DispatchBounds,
+  StartOrder,
+  StopOrder,
+} from './DispatchState.js';
+export { RunEnd, StartOutcome } from './UnitLifecycle.js';
+export type { EndedTask, RunnerReport, RunningTask } from './ReportReader.js';
+export type { ListedRunner, Runner } from './Runner.js';
+export type { JobRun } from './JobRun.js';
+export { recordProgress } from './ProgressRecord.js';
+export type { ProgressRecord } from './ProgressRecord.js';
--- /dev/null
+++ b/packages/instance/src/Election.ts
@@ -0,0 +1,183 @@
+import type { Clock, Event, Random } from '@apricothoist/common';
+import { delay, Emitter } from '@apricothoist/common';
+
+import type { CoordinationStore } from './CoordinationStore.js';
+import { absentRevision, CoordinationErrorKind } from './CoordinationStore.js';
+import { StoreKeys } from './keys.js';
+import type { HolderRecord } from './StoredJob.js';
+import { parseRecord } from './StoredJob.js';
+
+/** Lifetime of the lease in milliseconds: well below that of a task, so a successor can renew it. */
+const leaseMs = 3_000;
+/** Milliseconds between renewals; three may be lost before the lease ends. */
+const renewEveryMs = 700;
+/** Milliseconds before the end of the lease at which the holder stops relying on it. */
+const safetyMs = 250;
+/** Milliseconds that one call may take. */
+const callMs = 800;
+/** Milliseconds between looks at the key while another instance holds it. */
+const lookEveryMs = 400;
+const retryMs = 150;
+const retrySpread = 0.5;
+
+/** Right to schedule, for a while. */
+export interface Tenure {
+  /** Higher than that of every former holder. */
+  readonly token: number;
+}
+
+/** Where the present holder can be heard. */
+export type HolderLocation = HolderRecord & { readonly token: number };
+
+/**
+ * Decides which instance schedules, by a key with a lease in the store. The token of a holder is
+ * the revision at which it wrote the key.
+ */
+export class Election implements AsyncDisposable {
+  private readonly gained = new Emitter<Tenure>();
+
+  public readonly onGain: Event<Tenure> = this.gained.event;
+
+  private readonly lost = new Emitter<string>();
+
+  /** Fires with the reason. */
+  public readonly onLose: Event<string> = this.lost.event;
+
+  private readonly located = new Emitter<HolderLocation>();
+
+  /** Fires when another instance is found to be the holder. */
+  public readonly onLocate: Event<HolderLocation> = this.located.event;
+
+  private tenure: Tenure | undefined;
+
+  private lease = 0;
+
+  /** Monotonic milliseconds until which the lease is relied on. */
+  private heldUntil = 0;
+
+  private isStopped = false;
+
+  private loop: Promise<void> | undefined;
+
+  public constructor(
+    private readonly store: CoordinationStore,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly self: HolderRecord,
+    /** Whether the holder is heard, so that the key need not be looked at. */
+    private readonly hearsHolder: () => boolean,
+    /** Milliseconds that this instance leaves to better suited ones before it takes a free key. */
+    private readonly handicapMs: number,
+  ) {}
+
+  /** Token while the lease can be relied on at this moment. */
+  public get token(): number | undefined {
+    return this.clock.monotonic() < this.heldUntil ? this.tenure?.token : undefined;
+  }
+
+  public start(): void {
+    this.loop = this.run();
+  }
+
+  /** Gives up at once, after a runner or the store has told of a successor. */
+  public resign(reason: string): void {
+    if (this.tenure !== undefined) {
+      this.tenure = undefined;
+      this.heldUntil = 0;
+      this.lost.fire(reason);
+    }
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isStopped) {
+      if (this.tenure !== undefined) {
+        await this.renew();
+      } else if (this.hearsHolder()) {
+        await delay(lookEveryMs);
+      } else {
+        await this.look();
+      }
+    }
+  }
+
+  private async renew(): Promise<void> {
+    const askedAt = this.clock.monotonic();
+    const renewed = await this.store.renewLease(this.lease, askedAt + callMs);
+    if (renewed.isOk() && this.tenure !== undefined) {
+      this.heldUntil = Math.max(this.heldUntil, askedAt + leaseMs - safetyMs);
+    } else if (renewed.isErr() && renewed.error.kind === CoordinationErrorKind.leaseEnded) {
+      this.resign('lease ended');
+      return;
+    }
+    if (this.clock.monotonic() >= this.heldUntil) {
+      this.resign('lease not renewed in time');
+      return;
+    }
+    await delay(renewed.isOk() ? renewEveryMs : this.random.jitter(retryMs, retrySpread));
+  }
+
+  private async look(): Promise<void> {
+    const found = await this.store.read(StoreKeys.holder, this.clock.monotonic() + callMs);
+    if (found.isErr()) {
+      await delay(this.random.jitter(retryMs * 2, retrySpread));
+      return;
+    }
+    const item = found.value;
+    const holder = parseRecord<HolderRecord>(item?.value);
+    if (item !== undefined && holder !== undefined) {
+      if (holder.instance !== this.self.instance) {
+        this.located.fire({ ...holder, token: item.revision });
+      }
+      await delay(this.random.jitter(lookEveryMs / 2, retrySpread));
+      return;
+    }
+    await delay(this.random.fraction() * retryMs + this.handicapMs);
+    if (!this.isStopped) {
+      await this.acquire();
+    }
+  }
+
+  private async acquire(): Promise<void> {
+    const askedAt = this.clock.monotonic();
+    const lease = await this.store.grantLease(leaseMs, askedAt + callMs);
+    if (lease.isErr()) {
+      await delay(this.random.jitter(retryMs, retrySpread));
+      return;
+    }
+    const write = {
+      key: StoreKeys.holder,
+      value: JSON.stringify(this.self),
+      lease: lease.value,
+    };
+    const expect = [{ key: StoreKeys.holder, revision: absentRevision }];
+    const committed = await this.store.commit(
+      { expect, writes: [write] },
+      this.clock.monotonic() + callMs,
+    );
+    const isWon = committed.isOk() && committed.value.isCommitted;
+    const isLate = this.clock.monotonic() >= askedAt + leaseMs - safetyMs;
+    if (!isWon || isLate || this.isStopped) {
+      // A write whose answer was lost may have made this instance the holder: the end of the lease
+      // frees the key in any case.
+      await this.store.endLease(lease.value, this.clock.monotonic() + callMs);
+      return;
+    }
+    this.lease = lease.value;
+    this.heldUntil = askedAt + leaseMs - safetyMs;
+    this.tenure = { token: committed.value.isCommitted ? committed.value.revision : 0 };
+    this.gained.fire(this.tenure);
+  }
+
+  /** Gives the lease up, so that a successor need not wait for its end. */
+  public async [Symbol.asyncDispose](): Promise<void> {
+    this.isStopped = true;
+    const wasHolder = this.tenure !== undefined;
+    this.resign('instance stops');
+    if (wasHolder) {
+      await this.store.endLease(this.lease, this.clock.monotonic() + callMs);
+    }
+    this.gained[Symbol.dispose]();
+    this.lost[Symbol.dispose]();
+    this.located[Symbol.dispose]();
+  }
+}
--- /dev/null
+++ b/packages/instance/src/JobBoard.ts
@@ -0,0 +1,72 @@
+import type { Clock } from '@apricothoist/common';
+import type { JobState } from '@apricothoist/dispatch';
+
+/** What the scheduling instance expects of new work in one queue. */
+export interface QueueOutlook {
+  /** Accepted jobs of which no task has started. */
+  readonly pending: number;
+  /** Expected milliseconds until a new job of usual size starts. */
+  readonly startsInMs: number;
+}
+
+/** News from the scheduling instance. */
+export interface BoardUpdate {
+  /** Whether `states` holds all jobs, or only those that changed. */
+  readonly isWhole: boolean;
+  readonly states: readonly (readonly [id: string, state: JobState])[];
+  readonly queues: readonly (readonly [queue: string, outlook: QueueOutlook])[];
+}
+
+/** Milliseconds after which news without a follow-up counts as old; several times its interval. */
+const freshMs = 1_500;
+
+/** Jobs and queues as the scheduling instance last told. */
+export class JobBoard {
+  private states = new Map<string, JobState>();
+
+  private queues: ReadonlyMap<string, QueueOutlook> = new Map();
+
+  private heardAt = -Infinity;
+
+  public constructor(private readonly clock: Clock) {}
+
+  /** Whether the news is recent. */
+  public get isFresh(): boolean {
+    return this.clock.monotonic() - this.heardAt < freshMs;
+  }
+
+  public get size(): number {
+    return this.states.size;
+  }
+
+  /** Milliseconds since the last news. */
+  public get ageMs(): number {
+    return this.clock.monotonic() - this.heardAt;
+  }
+
+  public stateOf(id: string): JobState | undefined {
+    return this.states.get(id);
+  }
+
+  public outlookOf(queue: string): QueueOutlook | undefined {
+    return this.queues.get(queue);
+  }
+
+  public snapshot(): BoardUpdate {
+    return { isWhole: true, states: [...this.states], queues: [...this.queues] };
+  }
+
+  public apply(update: BoardUpdate): void {
+    if (update.isWhole) {
+      this.states = new Map(update.states);
+    } else {
+      update.states.forEach(([id, state]) => this.states.set(id, state));
+    }
+    this.queues = new Map(update.queues);
+    this.heardAt = this.clock.monotonic();
+  }
+
+  public forget(id: string): void {
+    this.states.delete(id);
+  }
+}
--- /dev/null
+++ b/packages/instance/src/JobService.ts
@@ -0,0 +1,145 @@
+import type { Clock } from '@apricothoist/common';
+import type { JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
+import { isFinal, JobState } from '@apricothoist/dispatch';
+
+import type { CommitResult, CoordinationError, CoordinationStore } from './CoordinationStore.js';
+import { absentRevision, CoordinationErrorKind } from './CoordinationStore.js';
+import type { JobBoard } from './JobBoard.js';
+import { StoreKeys } from './keys.js';
+import type { StoredJob } from './StoredJob.js';
+import { parseRecord } from './StoredJob.js';
+import type { Result } from 'neverthrow';
+
+export const SubmitOutcome = {
+  accepted: 'accepted',
+  /** Certainly not accepted; it may be sent again after `retryAfterMs`. */
+  refused: 'refused',
+  /** It may have been accepted. */
+  unknown: 'unknown',
+} as const;
+export type SubmitOutcome = (typeof SubmitOutcome)[keyof typeof SubmitOutcome];
+
+export interface SubmitAnswer {
+  readonly outcome: SubmitOutcome;
+  /** Why, for the log. */
+  readonly reason: string;
+  readonly retryAfterMs?: number;
+}
+
+export const Lookup = { found: 'found', absent: 'absent', unknown: 'unknown' } as const;
+export type Lookup = (typeof Lookup)[keyof typeof Lookup];
+
+export interface StateAnswer {
+  readonly lookup: Lookup;
+  readonly state?: JobState;
+  /** Where the answer comes from and how old it is, for the log. */
+  readonly source: string;
+}
+
+/** Milliseconds that one call may take, so that there is time for a second one. */
+const callMs = 700;
+/** Calls of the store for one submission: each may lose its answer. */
+const maxCalls = 4;
+/** Retry-After in milliseconds while the store refuses or does not answer. */
+const storeRetryMs = 1_000;
+
+/** Accepts jobs, tells their state and cancels them, on every instance. */
+export class JobService {
+  public constructor(
+    private readonly store: CoordinationStore,
+    private readonly board: JobBoard,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Stores the job. A job that is already there is accepted again.
+   *
+   * @param deadline monotonic milliseconds
+   */
+  public async submit(
+    specification: JobSpecification,
+    queue: Queue,
+    deadline: number,
+  ): Promise<SubmitAnswer> {
+    if (this.board.stateOf(specification.id) !== undefined) {
+      return { outcome: SubmitOutcome.accepted, reason: 'already known' };
+    }
+    const stored: StoredJob = { specification, queue };
+    const key = StoreKeys.job(specification.id);
+    const transaction = {
+      expect: [{ key, revision: absentRevision }],
+      writes: [{ key, value: JSON.stringify(stored) }],
+    };
+    let mayBeStored = false;
+    for (let call = 0; call < maxCalls && this.clock.monotonic() < deadline; call += 1) {
+      const callDeadline = Math.min(deadline, this.clock.monotonic() + callMs);
+      const result = await this.store.commit(transaction, callDeadline);
+      if (result.isOk()) {
+        return { outcome: SubmitOutcome.accepted, reason: describe(result) };
+      }
+      mayBeStored ||= result.error.kind !== CoordinationErrorKind.refused;
+      if (!mayBeStored) {
+        return {
+          outcome: SubmitOutcome.refused,
+          reason: describe(result),
+          retryAfterMs: storeRetryMs,
+        };
+      }
+    }
+    return { outcome: SubmitOutcome.unknown, reason: 'store does not answer' };
+  }
+
+  public async stateOf(id: string, deadline: number): Promise<StateAnswer> {
+    const known = this.board.stateOf(id);
+    if (known !== undefined && (isFinal(known) || this.board.isFresh)) {
+      const age = Math.round(this.board.ageMs);
+      return { lookup: Lookup.found, state: known, source: `board, ${age} ms old` };
+    }
+    const progress = await this.store.read(StoreKeys.progress(id), this.limit(deadline));
+    if (progress.isErr()) {
+      return { lookup: Lookup.unknown, source: progress.error.message };
+    }
+    const record = parseRecord<ProgressRecord>(progress.value?.value);
+    if (record !== undefined) {
+      return { lookup: Lookup.found, state: record.state, source: 'stored progress' };
+    }
+    const job = await this.store.read(StoreKeys.job(id), this.limit(deadline));
+    if (job.isErr()) {
+      return { lookup: Lookup.unknown, source: job.error.message };
+    }
+    return job.value === undefined
+      ? { lookup: Lookup.absent, source: 'not stored' }
+      : { lookup: Lookup.found, state: JobState.queued, source: 'stored job' };
+  }
+
+  /** Stores that the job is cancelled. */
+  public async cancel(id: string, deadline: number): Promise<Lookup> {
+    const found = await this.stateOf(id, deadline);
+    if (found.lookup !== Lookup.found) {
+      return found.lookup;
+    }
+    if (found.state !== undefined && isFinal(found.state)) {
+      return Lookup.found;
+    }
+    const key = StoreKeys.cancel(id);
+    const transaction = { expect: [{ key, revision: absentRevision }], writes: [{ key, value: '' }] };
+    for (let call = 0; call < maxCalls && this.clock.monotonic() < deadline; call += 1) {
+      const result = await this.store.commit(transaction, this.limit(deadline));
+      if (result.isOk()) {
+        return Lookup.found;
+      }
+    }
+    return Lookup.unknown;
+  }
+
+  private limit(deadline: number): number {
+    return Math.min(deadline, this.clock.monotonic() + callMs);
+  }
+}
+
+function describe(result: Result<CommitResult, CoordinationError>): string {
+  if (result.isErr()) {
+    return result.error.message;
+  }
+  return result.value.isCommitted ? `revision ${result.value.revision}` : 'already stored';
+}
--- /dev/null
+++ b/packages/instance/src/Scheduling.ts
@@ -0,0 +1,408 @@
+import type { Clock, Random } from '@apricothoist/common';
+import { delay, messageOf } from '@apricothoist/common';
+import type {
+  DispatchBounds,
+  JobRun,
+  ListedRunner,
+  ProgressRecord,
+  Runner,
+  StartOrder,
+  StopOrder,
+} from '@apricothoist/dispatch';
+import { Dispatcher, StartOutcome } from '@apricothoist/dispatch';
+import type { EventLog } from '@apricothoist/telemetry';
+import type { Result } from 'neverthrow';
+
+import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
+import { DecisionEvents, JobEvents } from './events.js';
+import type { BoardUpdate, QueueOutlook } from './JobBoard.js';
+import { JobWatch } from './JobWatch.js';
+import { parseJobKey, StoreKeys } from './keys.js';
+import type { OperatorConfiguration } from './OperatorConfiguration.js';
+import { ProgressWriter } from './ProgressWriter.js';
+import type { RunnerClient } from './RunnerClient.js';
+import { RunnerErrorKind } from './RunnerClient.js';
+import type { LinkOwner } from './RunnerLink.js';
+import { RunnerLink } from './RunnerLink.js';
+import type { StoredJob } from './StoredJob.js';
+import { parseRecord } from './StoredJob.js';
+
+/** Milliseconds between two steps when nothing happens. */
+const idleStepMs = 100;
+/** Milliseconds for which events are collected into one step. */
+const collectMs = 4;
+/** Milliseconds between two readings of the registry; drains must be seen within two seconds. */
+const listEveryMs = 700;
+const callMs = 800;
+const takeoverCallMs = 2_000;
+/** Milliseconds between news without a change. */
+const newsEveryMs = 500;
+/**
+ * Times after which an unanswered start is sent again, in milliseconds. The order is the same, so
+ * the runner carries it out once.
+ */
+const startAttemptMs = [250, 400, 600];
+const stopCallMs = 500;
+
+/** The registry of runners. */
+export interface RunnerRegistry {
+  list(deadline: number): Promise<Result<readonly ListedRunner[], CoordinationError>>;
+}
+
+/** What the scheduling needs from its instance. */
+export interface SchedulingServices {
+  readonly store: CoordinationStore;
+  readonly registry: RunnerRegistry;
+  readonly runners: RunnerClient;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: EventLog;
+  readonly bounds: DispatchBounds;
+  /** Token while the lease can be relied on. */
+  readonly token: () => number | undefined;
+  readonly resign: (reason: string) => void;
+  readonly publish: (update: BoardUpdate) => void;
+}
+
+/**
+ * One tenure as the scheduling instance: reads what is stored, fences the former holder out at each
+ * runner, and then turns events into orders. An order leaves only after the progress that tells of
+ * it is stored.
+ */
+export class Scheduling implements LinkOwner, Disposable {
+  public readonly dispatcher: Dispatcher;
+
+  private readonly links = new Map<string, RunnerLink>();
+
+  private readonly storedEnds = new Map<string, { bornAt: number; end: number }>();
+
+  private readonly watch: JobWatch;
+
+  private readonly writer: ProgressWriter;
+
+  private isStopped = false;
+
+  private isWoken = false;
+
+  private resume: (() => void) | undefined;
+
+  private listedAt = -Infinity;
+
+  private toldAt = -Infinity;
+
+  private isListing = false;
+
+  public constructor(
+    private readonly services: SchedulingServices,
+    private readonly tenureToken: number,
+    configuration: OperatorConfiguration | undefined,
+  ) {
+    const { store, clock, random, log, bounds } = services;
+    this.dispatcher = new Dispatcher(bounds, {
+      decide: (kind, fields) => log.emit(DecisionEvents[kind], fields),
+    });
+    if (configuration !== undefined) {
+      this.configure(configuration);
+    }
+    this.watch = new JobWatch(store, clock, random, (items) => this.takeItems(items));
+    this.writer = new ProgressWriter(
+      store,
+      clock,
+      random,
+      tenureToken,
+      () => this.token !== undefined,
+      (key) => log.emit(JobEvents.progressConflict, { key }),
+    );
+  }
+
+  public get token(): number | undefined {
+    const token = this.services.token();
+    return !this.isStopped && token === this.tenureToken ? token : undefined;
+  }
+
+  public start(): void {
+    this.run().catch((error: unknown) => {
+      this.services.log.emit(JobEvents.unexpectedError, { message: messageOf(error) });
+      this.services.resign('scheduling failed');
+    });
+  }
+
+  public configure(configuration: OperatorConfiguration): void {
+    this.dispatcher.configure(
+      new Map(configuration.routes.map((route) => [route.name, route])),
+      new Map(configuration.accounts.map((account) => [account.name, account])),
+    );
+    this.wake();
+  }
+
+  public storedEnd(runnerId: string): number {
+    const stored = this.storedEnds.get(runnerId);
+    const runner = this.dispatcher.state.runners.get(runnerId);
+    return stored !== undefined && stored.bornAt === runner?.listed.bornAt ? stored.end : 0;
+  }
+
+  public wake(): void {
+    this.isWoken = true;
+    this.resume?.();
+  }
+
+  public yieldToSuccessor(runnerId: string): void {
+    this.services.resign(`runner ${runnerId} follows a successor`);
+  }
+
+  public reportUnanswered(runnerId: string, message: string): void {
+    this.services.log.emit(JobEvents.runnerUnanswered, { runner: runnerId, message });
+  }
+
+  private get now(): number {
+    return this.services.clock.monotonic();
+  }
+
+  private async run(): Promise<void> {
+    if (!(await this.takeOver())) {
+      return;
+    }
+    while (this.token !== undefined) {
+      await this.step();
+      await this.rest();
+    }
+  }
+
+  private async rest(): Promise<void> {
+    if (!this.isWoken) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, idleStepMs);
+        this.resume = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+      this.resume = undefined;
+    }
+    await delay(collectMs);
+    this.isWoken = false;
+  }
+
+  private async takeOver(): Promise<boolean> {
+    const { store, registry, log } = this.services;
+    while (this.token !== undefined) {
+      const deadline = this.now + takeoverCallMs;
+      const [runners, jobs, progress] = await Promise.all([
+        registry.list(deadline),
+        store.list(StoreKeys.jobPrefix, deadline),
+        store.list(StoreKeys.progressPrefix, deadline),
+      ]);
+      if (runners.isOk() && jobs.isOk() && progress.isOk()) {
+        this.dispatcher.listRunners(runners.value, this.now);
+        this.listedAt = this.now;
+        this.takeStored(jobs.value.items, progress.value.items);
+        this.watch.start(jobs.value.revision, (error) => this.fail(error));
+        this.updateLinks();
+        log.emit(JobEvents.takeoverRead, {
+          token: this.tenureToken,
+          jobs: this.dispatcher.state.jobs.size,
+          runners: runners.value.length,
+          revision: jobs.value.revision,
+        });
+        this.publish(true, [...this.dispatcher.state.jobs.values()]);
+        return true;
+      }
+      await delay(collectMs * 25);
+    }
+    return false;
+  }
+
+  private takeStored(jobs: readonly StoredItem[], progress: readonly StoredItem[]): void {
+    const records = new Map<string, { progress: ProgressRecord; version: number }>();
+    progress.forEach(({ key, value, revision }) => {
+      const record = parseRecord<ProgressRecord>(value);
+      if (record === undefined) {
+        this.services.log.emit(JobEvents.recordUnreadable, { key });
+        return;
+      }
+      const id = key.slice(StoreKeys.progressPrefix.length);
+      records.set(id, { progress: record, version: revision });
+    });
+    this.takeItems(jobs, records);
+  }
+
+  // Jobs before cancels: a cancel names a job that may stand later in the same list.
+  private takeItems(
+    items: readonly StoredItem[],
+    records?: ReadonlyMap<string, { progress: ProgressRecord; version: number }>,
+  ): void {
+    const cancels: string[] = [];
+    items.forEach(({ key, value }) => {
+      const { id, isCancel } = parseJobKey(key);
+      if (isCancel) {
+        cancels.push(id);
+      } else if (value !== undefined) {
+        this.takeJob(key, value, records?.get(id));
+      }
+    });
+    cancels.forEach((id) => this.dispatcher.cancelJob(id, this.now));
+    if (items.length > 0) {
+      this.wake();
+    }
+  }
+
+  private takeJob(
+    key: string,
+    value: string,
+    record: { progress: ProgressRecord; version: number } | undefined,
+  ): void {
+    const stored = parseRecord<StoredJob>(value);
+    if (stored === undefined) {
+      this.services.log.emit(JobEvents.recordUnreadable, { key });
+      return;
+    }
+    const { clock } = this.services;
+    const ageMs = Math.max(0, clock.wall() - stored.specification.acceptedAt);
+    this.dispatcher.addJob(stored.specification, stored.queue, this.now - ageMs, this.now, record);
+  }
+
+  private async step(): Promise<void> {
+    this.listIfDue();
+    const orders = this.dispatcher.step(this.now, this.services.clock.wall());
+    orders.stops.forEach((order) => this.stop(order));
+    const changed = this.dispatcher.takeDirty();
+    const ends = [...this.dispatcher.state.runners.values()].map(({ id, listed, processedEnd }) => ({
+      id,
+      bornAt: listed.bornAt,
+      end: processedEnd,
+    }));
+    if (changed.length > 0 && !(await this.writer.write(changed))) {
+      this.services.resign('progress cannot be stored');
+      return;
+    }
+    ends.forEach(({ id, bornAt, end }) => this.storedEnds.set(id, { bornAt, end }));
+    if (this.token === undefined) {
+      return;
+    }
+    orders.starts.forEach((order) => this.send(order));
+    this.updateLinks();
+    if (changed.length > 0 || this.now - this.toldAt >= newsEveryMs) {
+      this.publish(false, changed);
+    }
+  }
+
+  private publish(isWhole: boolean, jobs: readonly JobRun[]): void {
+    this.toldAt = this.now;
+    const pending = this.dispatcher.countPending();
+    const queues = [...this.dispatcher.state.queues.keys()].map(
+      (name): readonly [string, QueueOutlook] => [
+        name,
+        { pending: pending.get(name) ?? 0, startsInMs: 0 },
+      ],
+    );
+    const states = jobs.map((job) => [job.id, job.state] as const);
+    this.services.publish({ isWhole, states, queues });
+  }
+
+  private listIfDue(): void {
+    if (this.isListing || this.now - this.listedAt < listEveryMs) {
+      return;
+    }
+    this.isListing = true;
+    this.listedAt = this.now;
+    this.services.registry
+      .list(this.now + callMs)
+      .then((runners) => {
+        this.isListing = false;
+        if (runners.isOk() && !this.isStopped) {
+          this.dispatcher.listRunners(runners.value, this.now);
+          this.updateLinks();
+          this.wake();
+        }
+      })
+      .catch((error: unknown) => this.fail(error));
+  }
+
+  private updateLinks(): void {
+    const { runners } = this.dispatcher.state;
+    this.links.forEach((link, id) => {
+      if (!runners.has(id)) {
+        link[Symbol.dispose]();
+        this.links.delete(id);
+      }
+    });
+    runners.forEach((runner) => {
+      const link = this.links.get(runner.id);
+      if (link !== undefined) {
+        link.wake();
+      } else if (runner.isListed) {
+        this.addLink(runner);
+      }
+    });
+  }
+
+  private addLink(runner: Runner): void {
+    const { runners, clock, random } = this.services;
+    const link = new RunnerLink(runner, runners, this.dispatcher, this, clock, random);
+    this.links.set(runner.id, link);
+    link.start((error) => this.fail(error));
+  }
+
+  private send(order: StartOrder): void {
+    this.startTask(order).catch((error: unknown) => this.fail(error));
+  }
+
+  private async startTask(order: StartOrder): Promise<void> {
+    const runner = this.dispatcher.state.runners.get(order.runnerId);
+    let outcome: StartOutcome = StartOutcome.unknown;
+    for (const attemptMs of startAttemptMs) {
+      if (runner === undefined || this.token === undefined) {
+        break;
+      }
+      const sentAt = this.now;
+      this.dispatcher.noteLease(runner.id, sentAt);
+      const { listed } = runner;
+      const { runners } = this.services;
+      outcome = await runners.start(listed, order, this.tenureToken, sentAt + attemptMs);
+      if (outcome !== StartOutcome.unknown) {
+        break;
+      }
+    }
+    if (this.isStopped) {
+      return;
+    }
+    if (outcome === StartOutcome.fenced) {
+      this.yieldToSuccessor(order.runnerId);
+    }
+    this.dispatcher.answerStart(order.runnerId, order.task, order.run, outcome, this.now);
+    this.wake();
+  }
+
+  private stop(order: StopOrder): void {
+    const runner = this.dispatcher.state.runners.get(order.runnerId);
+    if (runner === undefined || runner.listed.address === '') {
+      return;
+    }
+    this.services.runners
+      .stop(runner.listed, order, this.tenureToken, this.now + stopCallMs)
+      .then((answer) => {
+        if (this.isStopped) {
+          return;
+        }
+        if (answer.isOk()) {
+          this.dispatcher.answerStop(order.runnerId, order.task, order.run, this.now);
+          this.links.get(order.runnerId)?.wake();
+        } else if (answer.error.kind === RunnerErrorKind.fenced) {
+          this.yieldToSuccessor(order.runnerId);
+        }
+      })
+      .catch((error: unknown) => this.fail(error));
+  }
+
+  private fail(error: unknown): void {
+    this.services.log.emit(JobEvents.unexpectedError, { message: messageOf(error) });
+  }
+
+  public [Symbol.dispose](): void {
+    this.isStopped = true;
+    this.watch[Symbol.dispose]();
+    this.links.forEach((link) => link[Symbol.dispose]());
+    this.links.clear();
+    this.resume?.();
+  }
+}
--- /dev/null
+++ b/packages/instance/src/index.ts
@@ -0,0 +1,24 @@
+/** A job instance: acceptance, state, election, recovery and calls of runners. */
+export { JobInstance } from './JobInstance.js';
+export type { InstanceServices, InstanceSettings } from './JobInstance.js';
+export {
+  absentRevision,
+  CoordinationError,
+  CoordinationErrorKind,
+} from './CoordinationStore.js';
+export type {
+  CommitResult,
+  CoordinationStore,
+  StoredItem,
+  StoredItems,
+  Transaction,
+} from './CoordinationStore.js';
+export { RunnerError, RunnerErrorKind } from './RunnerClient.js';
+export type { ReportRequest, RunnerClient } from './RunnerClient.js';
+export type { RunnerRegistry } from './Scheduling.js';
+export type { OperatorConfiguration, Route } from './OperatorConfiguration.js';
+export { Lookup, SubmitOutcome } from './JobService.js';
+export type { StateAnswer, SubmitAnswer } from './JobService.js';
+export { JobEvents } from './events.js';
+export { SuspendClock } from './SuspendClock.js';
+export { InstanceMetrics } from './InstanceMetrics.js';
--- /dev/null
+++ b/packages/instance/src/keys.ts
@@ -0,0 +1,26 @@
+/** Keys of the project's own records in the store. */
+const jobPrefix = 'jobs/';
+const progressPrefix = 'progress/';
+const cancelSuffix = '/cancel';
+
+export const StoreKeys = {
+  holder: 'holder',
+  jobPrefix,
+  progressPrefix,
+  job: (id: string): string => `${jobPrefix}${id}`,
+  cancel: (id: string): string => `${jobPrefix}${id}${cancelSuffix}`,
+  progress: (id: string): string => `${progressPrefix}${id}`,
+} as const;
+
+/** What a key below the job prefix names. */
+export interface JobKey {
+  readonly id: string;
+  readonly isCancel: boolean;
+}
+
+export function parseJobKey(key: string): JobKey {
+  const name = key.slice(jobPrefix.length);
+  return name.endsWith(cancelSuffix)
+    ? { id: name.slice(0, -cancelSuffix.length), isCancel: true }
+    : { id: name, isCancel: false };
+}
--- a/packages/platform/src/AgentPool.ts
+++ b/packages/platform/src/AgentPool.ts
@@ -34,6 +34,18 @@
     this.agents.delete(address);
   }
 
+  /**
+   * Opens new connections for calls from now on, since idle ones may have gone silent. Calls in
+   * flight keep theirs.
+   */
+  public renew(address: string): void {
+    const agent = this.agents.get(address);
+    this.agents.delete(address);
+    Object.values(agent?.freeSockets ?? {}).forEach((sockets) =>
+      sockets?.forEach((socket) => socket.destroy()),
+    );
+  }
+
   public [Symbol.dispose](): void {
     this.agents.forEach((agent) => agent.destroy());
     this.agents.clear();
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,5 @@
+/** Structured logs on standard output, shared by the programs. */
+export { EventLevel } from './EventKind.js';
+export type { EventKind } from './EventKind.js';
+export { EventLog, linesDropped, LogFormat, LogLevel } from './EventLog.js';
+export type { EventFields } from './EventLog.js';
--- /dev/null
+++ b/scripts/bundle-site.mjs
@@ -0,0 +1,28 @@
+// Bundles the program that runs on the platform into target/apricothoist.cjs, straight from the
+// sources of the workspace.
+import { readdirSync } from 'node:fs';
+import process from 'node:process';
+
+import { build } from 'esbuild';
+
+const packages = readdirSync('packages');
+const alias = Object.fromEntries(
+  packages.map((name) => [`@apricothoist/${name}`, `./packages/${name}/src/index.ts`]),
+);
+
+await build({
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/apricothoist.cjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  minify: true,
+  keepNames: true,
+  alias,
+  // Optional native accelerators that are not built here.
+  external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
+  logLevel: 'warning',
+}).catch(() => {
+  process.exitCode = 1;
+});
