--- a/scripts/bundle-site.mjs
+++ b/scripts/bundle-site.mjs
@@ -1,4 +1,4 @@
-// Bundles the program that runs on the platform into target/apricothoist.cjs, straight from the
+// Bundles the program that runs on the platform into target/apricothoist.mjs, straight from the
 // sources of the workspace.
 import { readdirSync } from 'node:fs';
 import process from 'node:process';
@@ -12,14 +12,18 @@
 
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/apricothoist.cjs',
+  outfile: 'target/apricothoist.mjs',
   bundle: true,
   platform: 'node',
   target: 'node20',
-  format: 'cjs',
+  format: 'esm',
   minify: true,
   keepNames: true,
   alias,
+  // Some libraries are CommonJS and ask for Node's own modules by `require`.
+  banner: {
+    js: "import { createRequire as makeRequire } from 'node:module'; const require = makeRequire(import.meta.url);",
+  },
   // Optional native accelerators that are not built here.
   external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
   logLevel: 'warning',
