A transaction's limit counts expectations and writes together; no busy calls while ends wait to be stored

Cause: ProgressWriter put 31 jobs into one transaction of 63 entries; the store takes 32 in all and refused every repetition, so after a takeover with more than 15 changed jobs nothing was ordered. The refusal was not logged. Ruled out: the election, the feed.

--- a/packages/instance/src/CoordinationStore.ts
+++ b/packages/instance/src/CoordinationStore.ts
@@ -52,7 +52,7 @@
 
 /** The store that outlives every instance. Deadlines are monotonic milliseconds. */
 export interface CoordinationStore {
-  /** Most keys that one transaction may name. */
+  /** Most entries of one transaction: expectations, writes and deletes together. */
   readonly maxTransactionEntries: number;
   read(key: string, deadline: number): Answer<StoredItem | undefined>;
   /** All items below a prefix. */
--- a/packages/instance/src/ProgressWriter.ts
+++ b/packages/instance/src/ProgressWriter.ts
@@ -3,15 +3,22 @@
 import type { JobRun } from '@apricothoist/dispatch';
 import { recordProgress } from '@apricothoist/dispatch';
 
-import type { CommitResult, CoordinationStore, Transaction } from './CoordinationStore.js';
+import type {
+  CommitResult,
+  CoordinationError,
+  CoordinationStore,
+  Transaction,
+} from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
 
 const callMs = 1_200;
 const retryMs = 60;
 const maxRetryMs = 800;
 const retrySpread = 0.5;
-/** Entries of a transaction that are not progress: the holder's key. */
-const ownEntries = 1;
+/** Entries of a transaction for the holder's key. */
+const holderEntries = 1;
+/** Entries of a transaction for each job: what is expected, and what is written. */
+const jobEntries = 2;
 
 /** Stores the progress of jobs; only the holder of the token can. */
 export class ProgressWriter {
@@ -23,11 +30,12 @@
     /** Whether this instance still schedules. */
     private readonly isCurrent: () => boolean,
     private readonly onConflict: (key: string) => void,
+    private readonly onFailure: (error: CoordinationError, jobs: number) => void,
   ) {}
 
   /** Returns once all progress is stored, or false when this instance does not schedule any more. */
   public async write(jobs: readonly JobRun[]): Promise<boolean> {
-    const size = this.store.maxTransactionEntries - ownEntries;
+    const size = Math.floor((this.store.maxTransactionEntries - holderEntries) / jobEntries);
     for (let first = 0; first < jobs.length; first += size) {
       if (!(await this.writeBatch(jobs.slice(first, first + size)))) {
         return false;
@@ -49,6 +57,8 @@
           return isStored;
         }
         pauseMs = 0;
+      } else {
+        this.onFailure(result.error, jobs.length);
       }
       await delay(this.random.jitter(pauseMs, retrySpread));
       pauseMs = Math.min(maxRetryMs, Math.max(retryMs, pauseMs * 2));
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -7,6 +7,11 @@
 
 /** Milliseconds that a busy runner may wait for an end before it reports. */
 const waitMs = 1_000;
+/**
+ * Longest pause in milliseconds for ends to be stored before the runner is called again; until they
+ * are acknowledged it answers at once, and lists them again.
+ */
+const storeWaitMs = 500;
 /** Milliseconds beyond the wait for the answer itself. */
 const answerMs = 600;
 const firstRetryMs = 100;
@@ -73,17 +78,33 @@
 
   private async run(): Promise<void> {
     while (!this.isStopped) {
-      if (this.isNeeded) {
+      if (!this.isNeeded) {
+        await this.rest();
+      } else if (this.hasUnstoredEnds) {
+        await this.rest(storeWaitMs);
         await this.call();
       } else {
-        await new Promise<void>((resolve) => {
-          this.resume = resolve;
-        });
-        this.resume = undefined;
+        await this.call();
       }
     }
   }
 
+  private get hasUnstoredEnds(): boolean {
+    return this.runner.processedEnd > this.owner.storedEnd(this.runner.id);
+  }
+
+  // Until it is woken, or for `longestMs`.
+  private async rest(longestMs?: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = longestMs === undefined ? undefined : setTimeout(resolve, longestMs);
+      this.resume = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.resume = undefined;
+  }
+
   private async call(): Promise<void> {
     const { token } = this.owner;
     if (token === undefined) {
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -112,6 +112,7 @@
       tenureToken,
       () => this.token !== undefined,
       (key) => log.emit(JobEvents.progressConflict, { key }),
+      ({ kind, message }, jobs) => log.emit(JobEvents.progressNotStored, { kind, message, jobs }),
     );
   }
 
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -23,6 +23,7 @@
   feedLost: { code: 724, level: warn, text: 'lost the scheduling instance' },
   progressConflict: { code: 725, level: warn, text: 'stored progress was newer than expected' },
   recordUnreadable: { code: 726, level: error, text: 'stored record unreadable' },
+  progressNotStored: { code: 727, level: warn, text: 'progress not stored, trying again' },
   requestAnswered: { code: 730, level: info, text: 'request answered' },
   admissionRefused: { code: 731, level: info, text: 'job not accepted' },
   runnerUnanswered: { code: 740, level: warn, text: 'runner did not answer' },
