Reclaim opens places runner by runner where the least unsaved work is lost

Cause: victims were taken by price across a whole rack, so a gang that needs whole runners stopped units on runners that it then did not use enough; work that a stop saves was counted as lost; jobs beyond their guarantee could stop many times their own work.

--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -16,6 +16,9 @@
 /** Milliseconds beyond the longest stop after which a reservation is given up and sought anew. */
 const reservationSlackMs = 1_500;
 
+/** Most unsaved work that an urgent job beyond the guarantee may stop, per unit of its own work. */
+const lostWorkRatio = 4;
+
 /** One pass over all waiting units: who starts now, where, and who has to make room. */
 export class DispatchRound {
   private readonly ledger: RoomLedger;
@@ -82,7 +85,13 @@
   }
 
   private reclaim(unit: Unit, rank: JobRank): boolean {
-    const search = new VictimSearch(this.ledger, this.now, (victim) => this.mayStop(victim, rank));
+    const maxCost = rank.isGuaranteed ? Infinity : rank.work * lostWorkRatio;
+    const search = new VictimSearch(
+      this.ledger,
+      this.now,
+      (victim) => this.mayStop(victim, rank),
+      maxCost,
+    );
     const found = search.find(unit);
     if (found === undefined) {
       return false;
--- a/packages/dispatch/src/VictimSearch.ts
+++ b/packages/dispatch/src/VictimSearch.ts
@@ -1,7 +1,7 @@
 import type { Placement, RoomLedger, RunnerRoom } from './RoomLedger.js';
 import { countPlaces, isEligible } from './RoomLedger.js';
 import type { Resources } from './Resources.js';
-import { add, clampToZero, coresOf, subtract } from './Resources.js';
+import { add, clampToZero, coresOf, multiply, subtract } from './Resources.js';
 import type { Runner } from './Runner.js';
 import type { Unit } from './Unit.js';
 import { MemberState, UnitPhase } from './Unit.js';
@@ -18,17 +18,21 @@
   readonly cost: number;
 }
 
+/** The cheapest way to one more place on a runner. */
+interface Opening {
+  readonly runnerId: string;
+  readonly victims: readonly Unit[];
+  readonly cost: number;
+}
+
 const msPerSecond = 1_000;
+/** Core-seconds that stopping a unit costs besides its unsaved work, per core: its restart. */
+const restartSeconds = 0.5;
 
-/** Core-seconds that are lost if the unit is stopped now. */
+/** Core-seconds that are lost if the unit is stopped now; a stop saves what can be saved. */
 export function unsavedWork(unit: Unit, now: number): number {
-  if (unit.startedAt === 0) {
-    return 0;
-  }
-  const since = unit.step.savesProgress
-    ? Math.max(unit.savedAt, unit.startedAt)
-    : unit.startedAt;
-  return (unit.cores * Math.max(0, now - since)) / msPerSecond;
+  const ranMs = unit.startedAt === 0 || unit.step.savesProgress ? 0 : now - unit.startedAt;
+  return unit.cores * (Math.max(0, ranMs) / msPerSecond + restartSeconds);
 }
 
 /**
@@ -36,8 +40,9 @@
  * of them) where the least unsaved work is lost.
  *
  * Load pattern: all accelerators are lent out to long jobs when urgent gangs of a few seconds
- * arrive. Units that stop already count as room, so two urgent gangs in a row do not stop twice as
- * much as they need.
+ * arrive. Places are opened one after the other, each where it costs least; a victim that spans
+ * several runners opens places on all of them. Units that stop already count as room, so two urgent
+ * gangs in a row do not stop twice as much as they need.
  */
 export class VictimSearch {
   public constructor(
@@ -45,6 +50,8 @@
     private readonly now: number,
     /** Whether `victim` may be stopped for the unit. */
     private readonly mayStop: (victim: Unit) => boolean,
+    /** Most core-seconds that may be lost. */
+    private readonly maxCost: number,
   ) {}
 
   public find(unit: Unit): Reclaim | undefined {
@@ -70,66 +77,93 @@
     const eligible = rooms.filter(({ runner }) => isEligible(unit, runner));
     const free = new Map<string, Resources>();
     eligible.forEach((room) => free.set(room.runner.id, futureRoom(room)));
-    const victims: Unit[] = [];
+    const victims = new Set<Unit>();
+    let cost = 0;
     let placement = placeIn(unit, eligible, free);
-    const candidates = placement === undefined ? this.candidates(eligible) : [];
-    for (const victim of candidates) {
-      addRoom(free, victim);
-      victims.push(victim);
-      placement = placeIn(unit, eligible, free);
-      if (placement !== undefined) {
-        break;
+    while (placement === undefined) {
+      const opening = this.cheapestOpening(unit, eligible, free, victims);
+      if (opening === undefined || cost + opening.cost > this.maxCost) {
+        return undefined;
       }
+      opening.victims.forEach((victim) => {
+        victims.add(victim);
+        addRoom(free, victim);
+      });
+      cost += opening.cost;
+      placement = placeIn(unit, eligible, free);
     }
-    if (placement === undefined) {
-      return undefined;
-    }
-    return this.withoutNeedless(unit, eligible, free, victims, placement);
+    return { reclaim: { placement, victims: [...victims] }, cost };
   }
 
-  // Cheapest first by lost work for each core that becomes free within the group.
-  private candidates(rooms: readonly RunnerRoom[]): Unit[] {
-    const freed = new Map<Unit, number>();
+  private cheapestOpening(
+    unit: Unit,
+    rooms: readonly RunnerRoom[],
+    free: ReadonlyMap<string, Resources>,
+    chosen: ReadonlySet<Unit>,
+  ): Opening | undefined {
+    let best: Opening | undefined;
     rooms.forEach(({ runner }) => {
-      runner.occupants.forEach(({ unit }) => {
-        const isRunning = unit.phase === UnitPhase.ordered || unit.phase === UnitPhase.running;
-        if (isRunning && this.mayStop(unit)) {
-          freed.set(unit, (freed.get(unit) ?? 0) + coresOf(unit.size));
-        }
-      });
-    });
-    const prices = new Map<Unit, number>();
-    freed.forEach((cores, unit) => {
-      prices.set(unit, unsavedWork(unit, this.now) / Math.max(1, cores));
+      const opening = this.openOn(unit, runner, free.get(runner.id), chosen);
+      if (opening !== undefined && opening.cost < (best?.cost ?? Infinity)) {
+        best = opening;
+      }
     });
-    return [...freed.keys()].sort(
-      (left, right) => (prices.get(left) ?? 0) - (prices.get(right) ?? 0),
-    );
+    return best;
   }
 
-  private withoutNeedless(
+  // Stops the units that are cheapest for what they free here until one more member fits, and
+  // then spares those that turned out needless.
+  private openOn(
     unit: Unit,
-    rooms: readonly RunnerRoom[],
-    free: Map<string, Resources>,
-    victims: readonly Unit[],
-    found: Placement,
-  ): Search {
-    let placement = found;
-    const needed = [...victims]
-      .sort((left, right) => unsavedWork(right, this.now) - unsavedWork(left, this.now))
+    runner: Runner,
+    room: Resources | undefined,
+    chosen: ReadonlySet<Unit>,
+  ): Opening | undefined {
+    if (room === undefined) {
+      return undefined;
+    }
+    const wanted = countPlaces(unit, runner, room) + 1;
+    if (wanted > unit.members.length) {
+      return undefined;
+    }
+    const victims: Unit[] = [];
+    let freed = room;
+    for (const victim of this.candidatesOn(runner, chosen)) {
+      if (countPlaces(unit, runner, freed) >= wanted) {
+        break;
+      }
+      victims.push(victim);
+      freed = add(freed, sizeOn(victim, runner.id));
+    }
+    if (countPlaces(unit, runner, freed) < wanted) {
+      return undefined;
+    }
+    const needed = victims
+      .slice()
+      .reverse()
       .filter((victim) => {
-        removeRoom(free, victim);
-        const without = placeIn(unit, rooms, free);
-        if (without === undefined) {
-          addRoom(free, victim);
-          return true;
+        const without = subtract(freed, sizeOn(victim, runner.id));
+        if (countPlaces(unit, runner, without) >= wanted) {
+          freed = without;
+          return false;
         }
-        placement = without;
-        return false;
+        return true;
       });
-    placement = placeIn(unit, rooms, free) ?? placement;
     const cost = needed.reduce((sum, victim) => sum + unsavedWork(victim, this.now), 0);
-    return { reclaim: { placement, victims: needed }, cost };
+    return { runnerId: runner.id, victims: needed, cost };
+  }
+
+  private candidatesOn(runner: Runner, chosen: ReadonlySet<Unit>): Unit[] {
+    const units = new Set<Unit>();
+    runner.occupants.forEach(({ unit }) => {
+      const isActive = unit.phase === UnitPhase.ordered || unit.phase === UnitPhase.running;
+      if (isActive && !chosen.has(unit) && this.mayStop(unit)) {
+        units.add(unit);
+      }
+    });
+    const priceOf = (unit: Unit): number =>
+      unsavedWork(unit, this.now) / Math.max(1, coresOf(sizeOn(unit, runner.id)));
+    return [...units].sort((left, right) => priceOf(left) - priceOf(right));
   }
 }
 
@@ -141,37 +175,25 @@
   return add(free, clampToZero(subtract(runner.stopping, runner.reserved)));
 }
 
-function membersOn(victim: Unit, runnerId: string): number {
-  return victim.members.filter(
+// What the unit takes on one runner.
+function sizeOn(victim: Unit, runnerId: string): Resources {
+  const count = victim.members.filter(
     (member) => member.runnerId === runnerId && member.state !== MemberState.over,
   ).length;
+  return multiply(victim.size, count);
 }
 
-function changeRoom(free: Map<string, Resources>, victim: Unit, change: typeof add): void {
-  const runnerIds = new Set(victim.members.map((member) => member.runnerId));
-  runnerIds.forEach((runnerId) => {
+function addRoom(free: Map<string, Resources>, victim: Unit): void {
+  new Set(victim.members.map((member) => member.runnerId)).forEach((runnerId) => {
     const room = runnerId === undefined ? undefined : free.get(runnerId);
-    if (runnerId === undefined || room === undefined) {
-      return;
+    if (runnerId !== undefined && room !== undefined) {
+      free.set(runnerId, add(room, sizeOn(victim, runnerId)));
     }
-    let changed = room;
-    for (let count = membersOn(victim, runnerId); count > 0; count -= 1) {
-      changed = change(changed, victim.size);
-    }
-    free.set(runnerId, changed);
   });
 }
 
-function addRoom(free: Map<string, Resources>, victim: Unit): void {
-  changeRoom(free, victim, add);
-}
-
-function removeRoom(free: Map<string, Resources>, victim: Unit): void {
-  changeRoom(free, victim, subtract);
-}
-
 /** Places all members into `free`, fullest runner first; undefined when they do not all fit. */
-export function placeIn(
+function placeIn(
   unit: Unit,
   rooms: readonly RunnerRoom[],
   free: ReadonlyMap<string, Resources>,
@@ -179,7 +201,7 @@
   const candidates = rooms
     .map(({ runner }) => {
       const room = free.get(runner.id);
-      return { runner, room, places: room === undefined ? 0 : placesFor(unit, runner, room) };
+      return { runner, room, places: room === undefined ? 0 : countPlaces(unit, runner, room) };
     })
     .filter(({ places }) => places > 0)
     .sort((left, right) => (left.room?.accelerators ?? 0) - (right.room?.accelerators ?? 0));
@@ -195,7 +217,3 @@
   }
   return undefined;
 }
-
-function placesFor(unit: Unit, runner: Runner, room: Resources): number {
-  return countPlaces(unit, runner, room);
-}
