Headroom for urgent jobs: work that cannot be saved does not start on room they lately used

Cause: most of what reclaim throws away is work started in a short pause between urgent jobs; a core-second thrown away costs more than one that waits. Ruled out: longer waits before a reclaim (the objective of short urgent jobs leaves none).

--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -11,6 +11,7 @@
 import type { UnitLifecycle } from './UnitLifecycle.js';
 import type { Unit } from './Unit.js';
 import { UnitPhase } from './Unit.js';
+import { urgentAccelerators } from './UrgentDemand.js';
 import { VictimSearch } from './VictimSearch.js';
 
 /** Milliseconds beyond the longest stop after which a reservation is given up and sought anew. */
@@ -19,6 +20,12 @@
 /** Most unsaved work that an urgent job beyond the guarantee may stop, per unit of its own work. */
 const lostWorkRatio = 4;
 
+/**
+ * Largest share of all accelerators that is kept free for urgent jobs; with more, waiting jobs would
+ * stand beside a service that is hardly half used.
+ */
+const maxHeadroomShare = 0.35;
+
 /** One pass over all waiting units: who starts now, where, and who has to make room. */
 export class DispatchRound {
   private readonly ledger: RoomLedger;
@@ -29,6 +36,9 @@
 
   private readonly usable: readonly Runner[];
 
+  /** Accelerators that work which cannot be saved leaves to urgent jobs. */
+  private readonly headroom: number;
+
   public constructor(
     private readonly state: DispatchState,
     private readonly lifecycle: UnitLifecycle,
@@ -39,12 +49,21 @@
     this.ledger = new RoomLedger(this.usable);
     this.places = new PlacementSearch(this.ledger);
     this.covered = coveredJobs(state.jobs.values(), state.accounts);
+    this.headroom = this.measureHeadroom();
   }
 
   public run(): void {
     this.ranks().forEach((rank) => this.serve(rank));
   }
 
+  private measureHeadroom(): number {
+    const { urgentDemand, jobs } = this.state;
+    const wanted = urgentAccelerators(jobs.values());
+    urgentDemand.observe(wanted, this.now);
+    const total = this.usable.reduce((sum, { listed }) => sum + listed.capacity.accelerators, 0);
+    return Math.min(Math.max(0, urgentDemand.covered - wanted), total * maxHeadroomShare);
+  }
+
   private ranks(): JobRank[] {
     const { estimates } = this.state;
     return [...this.state.jobs.values()]
@@ -74,6 +93,9 @@
   }
 
   private place(unit: Unit, rank: JobRank): boolean {
+    if (!rank.isUrgent && !unit.step.savesProgress && !this.leavesHeadroom(unit)) {
+      return false;
+    }
     const placement = this.places.find(unit, !this.couldFitNear(unit));
     if (placement !== undefined) {
       this.ledger.take(unit, placement);
@@ -84,6 +106,11 @@
     return mayReclaim && this.reclaim(unit, rank);
   }
 
+  private leavesHeadroom(unit: Unit): boolean {
+    const wanted = unit.size.accelerators * unit.members.length;
+    return this.headroom === 0 || this.ledger.freeAccelerators - wanted >= this.headroom;
+  }
+
   private reclaim(unit: Unit, rank: JobRank): boolean {
     const maxCost = rank.isGuaranteed ? Infinity : rank.work * lostWorkRatio;
     const search = new VictimSearch(
--- a/packages/dispatch/src/RoomLedger.ts
+++ b/packages/dispatch/src/RoomLedger.ts
@@ -40,6 +40,10 @@
     return this.racks;
   }
 
+  public get freeAccelerators(): number {
+    return this.all.reduce((sum, { free }) => sum + Math.max(0, free.accelerators), 0);
+  }
+
   public take(unit: Unit, placement: Placement): void {
     placement.forEach((count, runnerId) => {
       const room = this.rooms.get(runnerId);
