Scheduling survives a lease that is in doubt for a moment; old boards are not handed to followers

Cause: SuspendClock takes the end of a backward clock step for a suspension, so the token was undefined for an instant; the scheduling loop ended for good while the election renewed the lease. Followers that reconnected took the old board for news and answered pending = 0 (MIXED). Ruled out: the store, the runners' rebirth (both recovered).

--- a/packages/instance/src/FeedServer.ts
+++ b/packages/instance/src/FeedServer.ts
@@ -66,7 +66,8 @@
 
   private accept(socket: WebSocket): void {
     socket.on('error', this.onError);
-    if (!this.isOpen) {
+    // A snapshot would make old knowledge look new to the follower.
+    if (!this.isOpen || !this.board.isFresh) {
       socket.terminate();
       return;
     }
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -110,7 +110,7 @@
       clock,
       random,
       tenureToken,
-      () => this.token !== undefined,
+      () => !this.isStopped,
       (key) => log.emit(JobEvents.progressConflict, { key }),
       ({ kind, message }, jobs) => log.emit(JobEvents.progressNotStored, { kind, message, jobs }),
     );
@@ -163,8 +163,12 @@
     if (!(await this.takeOver())) {
       return;
     }
-    while (this.token !== undefined) {
-      await this.step();
+    while (!this.isStopped) {
+      // The lease may be in doubt for a moment, after a suspension for example; it is the election
+      // that ends a tenure.
+      if (this.token !== undefined) {
+        await this.step();
+      }
       await this.rest();
     }
   }
@@ -186,7 +190,7 @@
 
   private async takeOver(): Promise<boolean> {
     const { store, registry, log } = this.services;
-    while (this.token !== undefined) {
+    while (!this.isStopped) {
       const deadline = this.now + takeoverCallMs;
       const [runners, jobs, progress] = await Promise.all([
         registry.list(deadline),
