Replay world and tests of the load patterns; failing runners, drains and a shorter lease

Cause: (1) a runner that fails at once took a unit's few attempts; (2) nearly finished work was stopped on draining runners although they often stay longer; (3) three seconds without a scheduler after each loss of the holder.

--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -17,15 +17,6 @@
 /** Milliseconds beyond the longest stop after which a reservation is given up and sought anew. */
 const reservationSlackMs = 1_500;
 
-/** Most unsaved work that an urgent job beyond the guarantee may stop, per unit of its own work. */
-const lostWorkRatio = 4;
-
-/**
- * Largest share of all accelerators that is kept free for urgent jobs; with more, waiting jobs would
- * stand beside a service that is hardly half used.
- */
-const maxHeadroomShare = 0.35;
-
 /** One pass over all waiting units: who starts now, where, and who has to make room. */
 export class DispatchRound {
   private readonly ledger: RoomLedger;
@@ -61,7 +52,7 @@
     const wanted = urgentAccelerators(jobs.values());
     urgentDemand.observe(wanted, this.now);
     const total = this.usable.reduce((sum, { listed }) => sum + listed.capacity.accelerators, 0);
-    return Math.min(Math.max(0, urgentDemand.covered - wanted), total * maxHeadroomShare);
+    return Math.min(Math.max(0, urgentDemand.covered - wanted), total * this.state.policy.headroomShare);
   }
 
   private ranks(): JobRank[] {
@@ -112,7 +103,7 @@
   }
 
   private reclaim(unit: Unit, rank: JobRank): boolean {
-    const maxCost = rank.isGuaranteed ? Infinity : rank.work * lostWorkRatio;
+    const maxCost = rank.isGuaranteed ? Infinity : rank.work * this.state.policy.lostWorkRatio;
     const search = new VictimSearch(
       this.ledger,
       this.now,
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -57,6 +57,22 @@
   readonly farSlowdown: number;
 }
 
+/** What may be weighed differently from one deployment to another. */
+export interface DispatchPolicy {
+  /**
+   * Largest share of all accelerators that is kept free for urgent jobs. With more, waiting jobs
+   * would stand beside a service that is hardly half used, which the users' rules forbid.
+   */
+  readonly headroomShare: number;
+  /**
+   * Most unsaved work that an urgent job beyond its guarantee may stop, per unit of its own work.
+   * The users value urgent work about four times as high as the work that it stops.
+   */
+  readonly lostWorkRatio: number;
+}
+
+export const defaultPolicy: DispatchPolicy = { headroomShare: 0.35, lostWorkRatio: 4 };
+
 /** Everything that the scheduling instance believes. */
 export class DispatchState {
   public readonly jobs = new Map<string, JobRun>();
@@ -78,5 +94,6 @@
   public constructor(
     public readonly bounds: DispatchBounds,
     public readonly log: DecisionLog,
+    public readonly policy: DispatchPolicy,
   ) {}
 }
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,7 +1,14 @@
+import type { QueueOutlook } from './Admission.js';
+import { describeQueues } from './Admission.js';
 import { DispatchRound } from './DispatchRound.js';
-import { remainingChain } from './DispatchOrder.js';
-import type { DispatchBounds, DecisionLog, StartOrder, StopOrder } from './DispatchState.js';
-import { DispatchState } from './DispatchState.js';
+import type {
+  DecisionLog,
+  DispatchBounds,
+  DispatchPolicy,
+  StartOrder,
+  StopOrder,
+} from './DispatchState.js';
+import { defaultPolicy, DispatchState } from './DispatchState.js';
 import type { Account, JobSpecification, Queue } from './Job.js';
 import { JobState } from './Job.js';
 import { JobRun } from './JobRun.js';
@@ -26,6 +33,8 @@
 const repeatStopMs = 700;
 /** Milliseconds for which jobs that are over are remembered. */
 const rememberMs = 600_000;
+/** Milliseconds kept between the end of a stop and the departure of its runner. */
+const leaveMarginMs = 400;
 /** Milliseconds that an unlisted runner is kept after the registry has dropped it. */
 const unlistedGraceMs = 2_000;
 
@@ -50,8 +59,12 @@
 
   private readonly stopOrderedAt = new Map<string, number>();
 
-  public constructor(bounds: DispatchBounds, log: DecisionLog) {
-    this.state = new DispatchState(bounds, log);
+  public constructor(
+    bounds: DispatchBounds,
+    log: DecisionLog,
+    policy: DispatchPolicy = defaultPolicy,
+  ) {
+    this.state = new DispatchState(bounds, log, policy);
     this.lifecycle = new UnitLifecycle(this.state);
     this.reports = new ReportReader(this.state, this.lifecycle);
   }
@@ -196,16 +209,10 @@
     return dirty;
   }
 
-  /** Accepted jobs by queue of which no task has started. */
-  public countPending(): Map<string, number> {
-    const counts = new Map<string, number>();
-    this.state.jobs.forEach((job) => {
-      if (!job.isOver && !job.hasStarted) {
-        const { queue } = job.specification;
-        counts.set(queue, (counts.get(queue) ?? 0) + 1);
-      }
-    });
-    return counts;
+  /** What new jobs of each queue have to expect. */
+  public describeQueues(): Map<string, QueueOutlook> {
+    const { queues, jobs, runners, estimates } = this.state;
+    return describeQueues(queues, jobs.values(), runners.values(), estimates);
   }
 
   private restore(job: JobRun, progress: ProgressRecord, now: number): void {
@@ -330,18 +337,25 @@
     });
   }
 
-  // Units that cannot end before their runner leaves are moved while their progress can be saved.
+  // Progress that a stop saves is saved at the last moment. Other units are moved only where that
+  // loses less than to wait: the runner may stay longer than it says.
   private leaveDraining(now: number): void {
+    const { stopMs } = this.state.bounds;
     this.state.runners.forEach((runner) => {
       if (!runner.isDraining || runner.leavesAt === Infinity) {
         return;
       }
+      const staysMs = Math.max(0, runner.leavesAt - now);
       runner.occupants.forEach(({ unit }) => {
-        if (unit.phase !== UnitPhase.running) {
+        const leftMs = this.unitLeftMs(unit, now);
+        if (unit.phase !== UnitPhase.running || leftMs <= staysMs) {
           return;
         }
-        const leftMs = remainingChain(unit.job, this.state.estimates, now);
-        if (now + Math.min(leftMs, this.unitLeftMs(unit, now)) > runner.leavesAt) {
+        const ranMs = now - unit.startedAt;
+        const isDue = unit.step.savesProgress
+          ? staysMs <= stopMs + leaveMarginMs
+          : leftMs - staysMs > ranMs + staysMs;
+        if (isDue) {
           this.lifecycle.abort(unit, 'its runner leaves', now);
         }
       });
--- a/packages/dispatch/src/DurationEstimates.ts
+++ b/packages/dispatch/src/DurationEstimates.ts
@@ -25,6 +25,12 @@
     this.byQueue.set(queue, observed);
   }
 
+  /** Usual duration of the queue's finished tasks in milliseconds; 0 before the first. */
+  public learned(queue: string): number {
+    const observed = this.byQueue.get(queue);
+    return observed === undefined ? 0 : Math.exp(observed.meanLog);
+  }
+
   /** Expected duration of one task in milliseconds. */
   public estimate(queue: string, step: Step): number {
     const declaredMs = Math.max(1, step.declaredMs);
--- a/packages/dispatch/src/PlacementSearch.ts
+++ b/packages/dispatch/src/PlacementSearch.ts
@@ -53,12 +53,21 @@
     return best;
   }
 
+  // Runners where the unit failed are left out while it fits elsewhere: it has few attempts.
   private findWithin(unit: Unit, rooms: readonly RunnerRoom[]): Placement | undefined {
+    const sound = rooms.filter(({ runner }) => !unit.failedRunners.has(runner.id));
+    const placement = this.placeWithin(unit, sound);
+    return placement === undefined && sound.length < rooms.length
+      ? this.placeWithin(unit, rooms)
+      : placement;
+  }
+
+  private placeWithin(unit: Unit, rooms: readonly RunnerRoom[]): Placement | undefined {
     const candidates = rooms
       .filter(({ runner }) => isEligible(unit, runner))
       .map((room) => ({ room, places: countPlaces(unit, room.runner, room.free) }))
       .filter(({ places }) => places > 0)
-      .sort((left, right) => compareCandidates(unit, left, right));
+      .sort(compareCandidates);
     const placement = new Map<string, number>();
     let missing = unit.members.length;
     for (const { room, places } of candidates) {
@@ -73,14 +82,8 @@
   }
 }
 
-// Runners where this unit failed come last, then the fullest runner comes first.
-function compareCandidates(unit: Unit, left: Candidate, right: Candidate): number {
-  const failures =
-    Number(unit.failedRunners.has(left.room.runner.id)) -
-    Number(unit.failedRunners.has(right.room.runner.id));
-  if (failures !== 0) {
-    return failures;
-  }
+// The fullest runner comes first.
+function compareCandidates(left: Candidate, right: Candidate): number {
   return (
     left.room.free.accelerators - right.room.free.accelerators ||
     left.room.free.cpu - right.room.free.cpu
--- a/packages/dispatch/src/RunnerSigns.ts
+++ b/packages/dispatch/src/RunnerSigns.ts
@@ -9,6 +9,8 @@
   refusing: 'refusing',
   /** Runs fail there. */
   failing: 'failing',
+  /** A run failed there as soon as it began. */
+  failingEarly: 'failingEarly',
   /** Tasks there make no progress. */
   stalling: 'stalling',
 } as const;
@@ -21,6 +23,7 @@
   silent: 500,
   refusing: 1_000,
   failing: 3_000,
+  failingEarly: 1_500,
   stalling: 3_000,
 };
 const maxPauseMs = 20_000;
--- a/packages/dispatch/src/UnitLifecycle.ts
+++ b/packages/dispatch/src/UnitLifecycle.ts
@@ -48,6 +48,8 @@
 
 /** Milliseconds before a refused unit is tried again, so that a wrong belief is corrected first. */
 const refusedRetryMs = 150;
+/** Share of the usual duration before which a failure counts as early. */
+const earlyShare = 0.1;
 /** Milliseconds before a unit is tried again after no answer. */
 const unansweredRetryMs = 300;
 
@@ -178,7 +180,7 @@
       unit.failedRunners.add(runner.id);
       unit.job.isDirty = true;
       runner.failedJobs.add(unit.job.id);
-      reportBadSign(this.state, runner, RunnerSign.failing, now);
+      reportBadSign(this.state, runner, this.signOfFailure(unit, now), now);
     }
     this.end(runner, occupant, now);
     this.abort(unit, how, now);
@@ -236,6 +238,13 @@
     this.stopJob(job, reason, now);
   }
 
+  // A run that fails at its very start tells of the runner rather than of the job.
+  private signOfFailure(unit: Unit, now: number): RunnerSign {
+    const usualMs = this.state.estimates.estimate(unit.job.queue.name, unit.step);
+    const ranMs = unit.startedAt === 0 ? 0 : now - unit.startedAt;
+    return ranMs < usualMs * earlyShare ? RunnerSign.failingEarly : RunnerSign.failing;
+  }
+
   private stopMember(unit: Unit, member: Member): void {
     const isThere = member.state === MemberState.ordered || member.state === MemberState.present;
     if (!isThere || member.runnerId === undefined || member.isStopOrdered) {
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,6 +2,8 @@
 export { isFinal, JobState } from './Job.js';
 export type { Account, JobSpecification, Queue, Step } from './Job.js';
 export type { Resources } from './Resources.js';
+export { decideAdmission } from './Admission.js';
+export type { Admission, QueueOutlook } from './Admission.js';
 export { Dispatcher } from './Dispatcher.js';
 export type { Orders } from './Dispatcher.js';
 export type {
@@ -9,9 +11,11 @@
   DecisionKind,
   DecisionLog,
   DispatchBounds,
+  DispatchPolicy,
   StartOrder,
   StopOrder,
 } from './DispatchState.js';
+export { defaultPolicy } from './DispatchState.js';
 export { RunEnd, StartOutcome } from './UnitLifecycle.js';
 export type { EndedTask, RunnerReport, RunningTask } from './ReportReader.js';
 export type { ListedRunner, Runner } from './Runner.js';
--- /dev/null
+++ b/packages/dispatch/src/loadPatterns.test.ts
@@ -0,0 +1,68 @@
+import { generateLoad, ReplayWorld } from '@apricothoist/testing';
+import test from 'ava';
+
+import { defaultPolicy } from './DispatchState.js';
+
+/** Jobs of a queue in a world, and how many of them were done within `withinMs`. */
+function servedShare(world: ReplayWorld, queue: string, withinMs: number): number {
+  const jobs = [...world.jobs.values()].filter((job) => job.queue === queue);
+  const served = jobs.filter(
+    (job) => job.state === 'completed' && job.endedAt - job.arrivedAt <= withinMs,
+  );
+  return served.length / jobs.length;
+}
+
+const seeds = [1, 2, 3, 4];
+const lastsMs = 30_000;
+const playMs = 44_000;
+/** Objective of an urgent job of the replayed load: 1.5 times its longest duration, plus 250 ms. */
+const urgentObjectiveMs = 5_100;
+
+test('headroom: less than half of the work is thrown away, and urgent jobs are no slower', (t) => {
+  const plain = { ...defaultPolicy, headroomShare: 0 };
+  let wastedPlain = 0;
+  let wasted = 0;
+  let urgentPlain = 0;
+  let urgent = 0;
+  seeds.forEach((seed) => {
+    const load = generateLoad(seed, lastsMs, 1.3);
+    const before = new ReplayWorld(6, 6, plain);
+    before.play(playMs, load);
+    const after = new ReplayWorld(6, 6);
+    after.play(playMs, load);
+    wastedPlain += before.wastedCoreSeconds;
+    wasted += after.wastedCoreSeconds;
+    urgentPlain += servedShare(before, 'urgent', urgentObjectiveMs);
+    urgent += servedShare(after, 'urgent', urgentObjectiveMs);
+  });
+  t.true(wasted < wastedPlain / 2, `${wasted} against ${wastedPlain}`);
+  t.true(urgent >= urgentPlain - 0.05, `${urgent} against ${urgentPlain}`);
+});
+
+test('twice the load: urgent jobs meet their objective, and no queue is left out', (t) => {
+  seeds.forEach((seed) => {
+    const world = new ReplayWorld(6, 6);
+    world.play(playMs, generateLoad(seed, lastsMs, 2));
+    t.true(servedShare(world, 'urgent', urgentObjectiveMs) > 0.85, `urgent, seed ${seed}`);
+    t.true(servedShare(world, 'large', playMs) > 0.2, `large, seed ${seed}`);
+    t.true(servedShare(world, 'batch', playMs) > 0.2, `batch, seed ${seed}`);
+    t.is(world.refusedStarts, 0, 'no start without room');
+  });
+});
+
+test('light load: nothing waits and nothing is thrown away', (t) => {
+  const world = new ReplayWorld(6, 6);
+  world.play(playMs, generateLoad(5, lastsMs, 0.3));
+  t.is(servedShare(world, 'urgent', urgentObjectiveMs), 1);
+  t.is(servedShare(world, 'batch', playMs), 1);
+  t.is(world.wastedCoreSeconds, 0);
+});
+
+test('the same load gives the same decisions', (t) => {
+  const play = (): unknown[] => {
+    const world = new ReplayWorld(4, 6);
+    world.play(20_000, generateLoad(9, 15_000, 2));
+    return world.decisions;
+  };
+  t.deepEqual(play(), play());
+});
--- a/packages/instance/src/Election.ts
+++ b/packages/instance/src/Election.ts
@@ -8,13 +8,13 @@
 import { parseRecord } from './StoredJob.js';
 
 /** Lifetime of the lease in milliseconds: well below that of a task, so a successor can renew it. */
-const leaseMs = 3_000;
-/** Milliseconds between renewals; three may be lost before the lease ends. */
-const renewEveryMs = 700;
+const leaseMs = 2_200;
+/** Milliseconds between renewals; two may be lost before the lease ends. */
+const renewEveryMs = 500;
 /** Milliseconds before the end of the lease at which the holder stops relying on it. */
 const safetyMs = 250;
 /** Milliseconds that one call may take. */
-const callMs = 800;
+const callMs = 700;
 /** Milliseconds between looks at the key while another instance holds it. */
 const lookEveryMs = 400;
 const retryMs = 150;
--- a/packages/instance/src/JobBoard.ts
+++ b/packages/instance/src/JobBoard.ts
@@ -1,13 +1,5 @@
 import type { Clock } from '@apricothoist/common';
-import type { JobState } from '@apricothoist/dispatch';
-
-/** What the scheduling instance expects of new work in one queue. */
-export interface QueueOutlook {
-  /** Accepted jobs of which no task has started. */
-  readonly pending: number;
-  /** Expected milliseconds until a new job of usual size starts. */
-  readonly startsInMs: number;
-}
+import type { JobState, QueueOutlook } from '@apricothoist/dispatch';
 
 /** News from the scheduling instance. */
 export interface BoardUpdate {
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -42,8 +42,11 @@
   readonly decodeConfiguration: (value: string) => Result<OperatorConfiguration, Error>;
 }
 
-/** Share of the revocation bound after which an instance asks clients to go elsewhere. */
-const readyShare = 0.6;
+/**
+ * Share of the revocation bound after which an instance asks clients to go elsewhere: two watches of
+ * the configuration that were not answered.
+ */
+const readyShare = 0.48;
 /** Milliseconds before the revocation bound at which keyed requests are refused. */
 const keyMarginMs = 800;
 
--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@apricothoist/common';
-import type { JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
-import { isFinal, JobState } from '@apricothoist/dispatch';
+import type { Admission, JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
+import { decideAdmission, isFinal, JobState } from '@apricothoist/dispatch';
 
 import type { CommitResult, CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { absentRevision, CoordinationErrorKind } from './CoordinationStore.js';
@@ -64,6 +64,11 @@
     if (this.board.stateOf(specification.id) !== undefined) {
       return { outcome: SubmitOutcome.accepted, reason: 'already known' };
     }
+    const outlook = this.board.isFresh ? this.board.outlookOf(queue.name) : undefined;
+    const admission = decideAdmission(specification, queue, outlook);
+    if (!admission.isAccepted) {
+      return this.refuse(specification.id, admission, deadline);
+    }
     const stored: StoredJob = { specification, queue };
     const key = StoreKeys.job(specification.id);
     const transaction = {
@@ -89,6 +94,21 @@
     return { outcome: SubmitOutcome.unknown, reason: 'store does not answer' };
   }
 
+  // An earlier attempt may have been accepted elsewhere; then a refusal would not be true.
+  private async refuse(
+    id: string,
+    { reason, retryAfterMs }: Extract<Admission, { isAccepted: false }>,
+    deadline: number,
+  ): Promise<SubmitAnswer> {
+    const found = await this.store.read(StoreKeys.job(id), this.limit(deadline));
+    if (found.isErr()) {
+      return { outcome: SubmitOutcome.unknown, reason: found.error.message };
+    }
+    return found.value === undefined
+      ? { outcome: SubmitOutcome.refused, reason, retryAfterMs }
+      : { outcome: SubmitOutcome.accepted, reason: 'already stored' };
+  }
+
   public async stateOf(id: string, deadline: number): Promise<StateAnswer> {
     const known = this.board.stateOf(id);
     if (known !== undefined && (isFinal(known) || this.board.isFresh)) {
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -15,7 +15,7 @@
 
 import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
-import type { BoardUpdate, QueueOutlook } from './JobBoard.js';
+import type { BoardUpdate } from './JobBoard.js';
 import { JobWatch } from './JobWatch.js';
 import { parseJobKey, StoreKeys } from './keys.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
@@ -293,13 +293,7 @@
 
   private publish(isWhole: boolean, jobs: readonly JobRun[]): void {
     this.toldAt = this.now;
-    const pending = this.dispatcher.countPending();
-    const queues = [...this.dispatcher.state.queues.keys()].map(
-      (name): readonly [string, QueueOutlook] => [
-        name,
-        { pending: pending.get(name) ?? 0, startsInMs: 0 },
-      ],
-    );
+    const queues = [...this.dispatcher.describeQueues()];
     const states = jobs.map((job) => [job.id, job.state] as const);
     this.services.publish({ isWhole, states, queues });
   }
--- /dev/null
+++ b/packages/testing/src/ReplayWorld.ts
@@ -0,0 +1,360 @@
+import { Random } from '@apricothoist/common';
+import type {
+  DecisionLog,
+  DispatchBounds,
+  EndedTask,
+  JobSpecification,
+  JobState,
+  ListedRunner,
+  Queue,
+  RunningTask,
+  StartOrder,
+  Step,
+} from '@apricothoist/dispatch';
+import { defaultPolicy, Dispatcher, RunEnd, StartOutcome } from '@apricothoist/dispatch';
+
+/** A job that arrives during a replay. */
+export interface Arrival {
+  /** Virtual milliseconds. */
+  readonly at: number;
+  readonly queue: string;
+  readonly account?: string;
+  readonly steps: readonly Partial<Step>[];
+  /** True duration of each task in milliseconds. */
+  readonly durationMs: number;
+}
+
+/** How a job of a replay went. */
+export interface ReplayedJob {
+  readonly id: string;
+  readonly queue: string;
+  readonly arrivedAt: number;
+  state: JobState;
+  startedAt: number;
+  endedAt: number;
+}
+
+interface VirtualTask {
+  readonly order: StartOrder;
+  readonly size: Step['size'];
+  endsAt: number;
+  stoppedBy: number;
+  startedAt: number;
+}
+
+interface VirtualRunner {
+  readonly listed: ListedRunner;
+  readonly tasks: Map<string, VirtualTask>;
+  ended: EndedTask[];
+  endCount: number;
+}
+
+export const replayBounds: DispatchBounds = { stopMs: 900, maxLeaseMs: 6_000, farSlowdown: 3 };
+const stepMs = 20;
+const msPerSecond = 1_000;
+const coresPerAccelerator = 8;
+
+const plainStep: Step = {
+  count: 1,
+  size: { cpu: 1_000, memoryMb: 1_000, accelerators: 1 },
+  declaredMs: 1_000,
+  after: [],
+  isGang: false,
+  prefersOneRack: false,
+  savesProgress: false,
+  isLasting: false,
+  usesLeftover: false,
+};
+
+/** The users' two kinds of queues: urgent work of seconds, and batch work of two priorities. */
+export const replayQueues: Readonly<Record<string, Queue>> = {
+  urgent: {
+    name: 'urgent',
+    service: 'service',
+    priority: 0,
+    maxAttempts: 3,
+    stretch: 1.5,
+    targetMs: 250,
+  },
+  large: {
+    name: 'large',
+    service: 'service',
+    priority: 1,
+    maxAttempts: 3,
+    stretch: 3,
+    targetMs: 1_000,
+  },
+  batch: {
+    name: 'batch',
+    service: 'service',
+    priority: 2,
+    maxAttempts: 3,
+    stretch: 3,
+    targetMs: 3_000,
+  },
+};
+
+/** Replays a load against the dispatcher in virtual time, with runners that keep to their orders. */
+export class ReplayWorld {
+  public readonly dispatcher: Dispatcher;
+
+  public readonly jobs = new Map<string, ReplayedJob>();
+
+  public readonly decisions: { kind: string; fields: Record<string, unknown> }[] = [];
+
+  /** Core-seconds of runs that were stopped without being saved. */
+  public wastedCoreSeconds = 0;
+
+  /** Starts that a runner refused for want of room. */
+  public refusedStarts = 0;
+
+  public now = 1_000;
+
+  private readonly runners = new Map<string, VirtualRunner>();
+
+  private readonly durations = new Map<string, number>();
+
+  private readonly specifications = new Map<string, JobSpecification>();
+
+  private readonly listeners: ((order: StartOrder) => StartOutcome | undefined)[] = [];
+
+  public constructor(racks: number, runnersPerRack: number, policy = defaultPolicy) {
+    const decide: DecisionLog['decide'] = (kind, fields) => {
+      this.decisions.push({ kind, fields: { ...fields } });
+    };
+    this.dispatcher = new Dispatcher(replayBounds, { decide }, policy);
+    for (let rack = 0; rack < racks; rack += 1) {
+      for (let index = 0; index < runnersPerRack; index += 1) {
+        this.addRunner(`rack-${rack}`, `runner-${rack}-${index}`);
+      }
+    }
+    const queues = new Map(Object.values(replayQueues).map((queue) => [queue.name, queue]));
+    const accounts = new Map([['anna', { name: 'anna', guaranteedAccelerators: 32 }]]);
+    this.dispatcher.configure(queues, accounts);
+    this.list();
+  }
+
+  /** Decides on starts in place of the runner; undefined leaves the start to it. */
+  public interceptStarts(decide: (order: StartOrder) => StartOutcome | undefined): void {
+    this.listeners.push(decide);
+  }
+
+  public listing(change: (listed: ListedRunner) => ListedRunner | undefined): void {
+    const listed = [...this.runners.values()]
+      .map((runner) => change(runner.listed))
+      .filter((entry) => entry !== undefined);
+    this.dispatcher.listRunners(listed, this.now);
+  }
+
+  public submit(arrival: Omit<Arrival, 'at'>): string {
+    const id = String(this.jobs.size + 1).padStart(16, '0');
+    const queue = replayQueues[arrival.queue] as Queue;
+    const steps = arrival.steps.map((step): Step => ({ ...plainStep, ...step }));
+    const specification: JobSpecification = {
+      id,
+      queue: queue.name,
+      account: arrival.account ?? 'anna',
+      service: 'service',
+      payload: '',
+      steps,
+      occurrences: 1,
+      intervalMs: 0,
+      firstDueAt: 0,
+      acceptedAt: 0,
+    };
+    this.durations.set(id, arrival.durationMs);
+    this.specifications.set(id, specification);
+    this.dispatcher.addJob(specification, queue, this.now, this.now);
+    const state = this.dispatcher.state.jobs.get(id)?.state as JobState;
+    const job = { id, queue: queue.name, arrivedAt: this.now, state, startedAt: 0, endedAt: 0 };
+    this.jobs.set(id, job);
+    return id;
+  }
+
+  /** Plays until `until`, with the arrivals at their times. */
+  public play(until: number, arrivals: readonly Arrival[] = []): void {
+    const waiting = [...arrivals].sort((left, right) => left.at - right.at);
+    while (this.now < until) {
+      while (waiting[0] !== undefined && waiting[0].at <= this.now) {
+        this.submit(waiting.shift() as Arrival);
+      }
+      this.runners.forEach((runner) => this.report(runner));
+      const { starts, stops } = this.dispatcher.step(this.now, this.now);
+      this.dispatcher.takeDirty();
+      stops.forEach(({ runnerId, task, run }) => this.stop(runnerId, `${task}#${run}`));
+      starts.forEach((order) => this.start(order));
+      this.track();
+      this.now += stepMs;
+    }
+  }
+
+  /** Tasks that run on a runner now. */
+  public tasksOn(runnerId: string): string[] {
+    return [...(this.runners.get(runnerId)?.tasks.keys() ?? [])];
+  }
+
+  private addRunner(rack: string, id: string): void {
+    this.runners.set(id, {
+      listed: {
+        id,
+        address: id,
+        service: 'service',
+        dataCentre: 'a',
+        rack,
+        labels: ['kind', rack],
+        capacity: { cpu: 32_000, memoryMb: 131_072, accelerators: 8 },
+        isDraining: false,
+        bornAt: 1,
+      },
+      tasks: new Map(),
+      ended: [],
+      endCount: 0,
+    });
+  }
+
+  private list(): void {
+    this.listing((listed) => listed);
+    this.runners.forEach((runner) => this.report(runner));
+  }
+
+  private report(runner: VirtualRunner): void {
+    runner.tasks.forEach((task, key) => {
+      if (task.stoppedBy <= this.now) {
+        this.endTask(runner, key, task, RunEnd.stopped);
+      } else if (task.endsAt <= this.now) {
+        this.endTask(runner, key, task, RunEnd.done);
+      }
+    });
+    const running = [...runner.tasks.values()].map(
+      ({ order, startedAt, endsAt }): RunningTask => ({
+        task: order.task,
+        run: order.run,
+        saved: '',
+        percent: (100 * (this.now - startedAt)) / (endsAt - startedAt),
+      }),
+    );
+    this.dispatcher.noteLease(runner.listed.id, this.now);
+    const report = { bornAt: 1, askedAt: this.now - 1, running, ended: runner.ended };
+    this.dispatcher.readReport(runner.listed.id, report, this.now);
+    runner.ended = [];
+  }
+
+  private endTask(runner: VirtualRunner, key: string, task: VirtualTask, end: RunEnd): void {
+    runner.tasks.delete(key);
+    const saves = this.specifications.get(task.order.jobId)?.steps[0]?.savesProgress === true;
+    if (end === RunEnd.stopped && !saves) {
+      const cores = task.size.cpu / msPerSecond + task.size.accelerators * coresPerAccelerator;
+      this.wastedCoreSeconds += (cores * (this.now - task.startedAt)) / msPerSecond;
+    }
+    runner.endCount += 1;
+    const { task: name, run } = task.order;
+    const saved = end === RunEnd.stopped && saves ? String(this.now - task.startedAt) : '';
+    runner.ended.push({ number: runner.endCount, task: name, run, end, saved });
+  }
+
+  private start(order: StartOrder): void {
+    const runner = this.runners.get(order.runnerId) as VirtualRunner;
+    const decided = this.listeners.map((decide) => decide(order)).find((each) => each !== undefined);
+    const outcome = decided ?? this.tryStart(runner, order);
+    this.dispatcher.answerStart(order.runnerId, order.task, order.run, outcome, this.now);
+  }
+
+  private tryStart(runner: VirtualRunner, order: StartOrder): StartOutcome {
+    const stepIndex = Number(order.task.split('.')[2]);
+    const size = this.specifications.get(order.jobId)?.steps[stepIndex]?.size as Step['size'];
+    const used = [...runner.tasks.values()].reduce(
+      (sum, task) => ({
+        cpu: sum.cpu + task.size.cpu,
+        memoryMb: sum.memoryMb + task.size.memoryMb,
+        accelerators: sum.accelerators + task.size.accelerators,
+      }),
+      size,
+    );
+    const { capacity } = runner.listed;
+    const fits =
+      used.cpu <= capacity.cpu &&
+      used.memoryMb <= capacity.memoryMb &&
+      used.accelerators <= capacity.accelerators;
+    if (!fits) {
+      this.refusedStarts += 1;
+      return StartOutcome.noRoom;
+    }
+    const leftMs = Math.max(0, (this.durations.get(order.jobId) ?? 0) - Number(order.saved || 0));
+    runner.tasks.set(`${order.task}#${order.run}`, {
+      order,
+      size,
+      startedAt: this.now,
+      endsAt: this.now + leftMs,
+      stoppedBy: Infinity,
+    });
+    return StartOutcome.started;
+  }
+
+  private stop(runnerId: string, key: string): void {
+    const task = this.runners.get(runnerId)?.tasks.get(key);
+    if (task !== undefined) {
+      task.stoppedBy = Math.min(task.stoppedBy, this.now + replayBounds.stopMs);
+    }
+    const [name = '', run] = key.split('#');
+    this.dispatcher.answerStop(runnerId, name, Number(run), this.now);
+  }
+
+  private track(): void {
+    this.jobs.forEach((replayed) => {
+      const job = this.dispatcher.state.jobs.get(replayed.id);
+      if (job === undefined || replayed.endedAt > 0) {
+        return;
+      }
+      replayed.state = job.state;
+      if (job.hasStarted && replayed.startedAt === 0) {
+        replayed.startedAt = this.now;
+      }
+      if (job.isOver) {
+        replayed.endedAt = this.now;
+      }
+    });
+  }
+}
+
+/**
+ * The users' load, generated: urgent gangs of seconds that want whole runners of one rack, over
+ * large gangs and wide batch jobs.
+ *
+ * @param factor 1: the load of the users' sheets for 32 runners
+ */
+export function generateLoad(seed: number, lastsMs: number, factor: number): Arrival[] {
+  const random = new Random(seed);
+  const arrivals: Arrival[] = [];
+  const kinds = [
+    { queue: 'urgent', perSecond: 1.67, width: 3, cpu: 3_700, ms: 2_500, isGang: true },
+    { queue: 'large', perSecond: 0.44, width: 5, cpu: 13_000, ms: 8_500, isGang: true },
+    { queue: 'batch', perSecond: 0.33, width: 16, cpu: 2_800, ms: 9_500, isGang: false },
+  ];
+  kinds.forEach((kind) => {
+    let at = msPerSecond;
+    for (;;) {
+      at += random.exponential(msPerSecond / (kind.perSecond * factor));
+      if (at > lastsMs) {
+        return;
+      }
+      const accelerators = kind.queue === 'batch' ? 1 : random.pick([1, 2, 4, 8, 8]);
+      const count = Math.max(1, Math.round(random.jitter(kind.width, 0.8)));
+      const memoryMb = kind.queue === 'large' ? 53_000 : 15_000;
+      const step = {
+        count,
+        size: { cpu: kind.cpu, memoryMb, accelerators },
+        declaredMs: kind.ms * (0.2 + 3 * random.fraction()),
+        isGang: kind.isGang,
+        prefersOneRack: kind.queue === 'urgent',
+        savesProgress: kind.queue !== 'urgent' && random.fraction() < 0.45,
+      };
+      arrivals.push({
+        at,
+        queue: kind.queue,
+        steps: [step],
+        durationMs: random.jitter(kind.ms, 0.3),
+      });
+    }
+  });
+  return arrivals;
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -14,3 +14,5 @@
 export { canPlaceTogether } from './gangOracle.js';
 export type { OracleGang } from './gangOracle.js';
 export { RelayMode, TcpRelay } from './TcpRelay.js';
+export { generateLoad, replayBounds, replayQueues, ReplayWorld } from './ReplayWorld.js';
+export type { Arrival, ReplayedJob } from './ReplayWorld.js';
