Headroom by feedback, and bounded losses for guaranteed jobs at first

Cause: the demand window kept too much at twice the load and too little below it. Now room is kept only after work was lost, and given back while none is.

--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -11,12 +11,16 @@
 import type { UnitLifecycle } from './UnitLifecycle.js';
 import type { Unit } from './Unit.js';
 import { UnitPhase } from './Unit.js';
-import { urgentAccelerators } from './UrgentDemand.js';
 import { VictimSearch } from './VictimSearch.js';
 
 /** Milliseconds beyond the longest stop after which a reservation is given up and sought anew. */
 const reservationSlackMs = 1_500;
 
+/** Milliseconds kept for the orders of a reclaim within the bound of a guarantee. */
+const reclaimMarginMs = 700;
+/** Worth of a late job against one in time, as the users weigh them. */
+const lateShare = 0.25;
+
 /** One pass over all waiting units: who starts now, where, and who has to make room. */
 export class DispatchRound {
   private readonly ledger: RoomLedger;
@@ -48,11 +52,8 @@
   }
 
   private measureHeadroom(): number {
-    const { urgentDemand, jobs } = this.state;
-    const wanted = urgentAccelerators(jobs.values());
-    urgentDemand.observe(wanted, this.now);
     const total = this.usable.reduce((sum, { listed }) => sum + listed.capacity.accelerators, 0);
-    return Math.min(Math.max(0, urgentDemand.covered - wanted), total * this.state.policy.headroomShare);
+    return this.state.urgentHeadroom.at(this.now, total * this.state.policy.headroomShare);
   }
 
   private ranks(): JobRank[] {
@@ -103,7 +104,7 @@
   }
 
   private reclaim(unit: Unit, rank: JobRank): boolean {
-    const maxCost = rank.isGuaranteed ? Infinity : rank.work * this.state.policy.lostWorkRatio;
+    const maxCost = this.affordableLoss(rank);
     const search = new VictimSearch(
       this.ledger,
       this.now,
@@ -127,10 +128,30 @@
       victims: found.victims.map((victim) => `${victim.job.id}.${victim.key}`).join(','),
       isGuaranteed: rank.isGuaranteed,
     });
-    found.victims.forEach((victim) => this.lifecycle.abort(victim, 'reclaimed', this.now));
+    found.victims.forEach((victim) => this.stopVictim(victim));
     return true;
   }
 
+  private stopVictim(victim: Unit): void {
+    if (!victim.step.savesProgress) {
+      const lost = victim.size.accelerators * victim.members.length;
+      this.state.urgentHeadroom.noteLoss(lost, this.now);
+    }
+    this.lifecycle.abort(victim, 'reclaimed', this.now);
+  }
+
+  // A guaranteed job first waits for cheaper room, and takes what it needs in time for its
+  // guarantee. For a job that will be late a quarter of the loss is justified, as of its worth.
+  private affordableLoss(rank: JobRank): number {
+    const { bounds, policy } = this.state;
+    const patienceMs = bounds.reclaimMs - bounds.stopMs - reclaimMarginMs;
+    if (rank.isGuaranteed && this.now - rank.job.arrivedAt >= patienceMs) {
+      return Infinity;
+    }
+    const share = rank.standing === Standing.inTime ? 1 : lateShare;
+    return share * (policy.lostWorkBase + policy.lostWorkRatio * rank.work);
+  }
+
   // Guaranteed jobs may take from everybody else, other urgent ones from less urgent queues.
   private mayStop(victim: Unit, rank: JobRank): boolean {
     if (victim.step.isLasting || victim.phase === UnitPhase.stopping) {
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -2,7 +2,7 @@
 import type { Account, Queue } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import type { Runner } from './Runner.js';
-import { UrgentDemand } from './UrgentDemand.js';
+import { UrgentHeadroom } from './UrgentHeadroom.js';
 
 /** An order to start one task; to be sent once the job's progress is stored. */
 export interface StartOrder {
@@ -51,6 +51,8 @@
 export interface DispatchBounds {
   /** Longest time a task takes to stop. */
   readonly stopMs: number;
+  /** Longest time until a guaranteed job has to have begun. */
+  readonly reclaimMs: number;
   /** Longest lease that a runner grants. */
   readonly maxLeaseMs: number;
   /** Slowdown of a task away from the rack of its data, or of a gang spread over racks. */
@@ -65,13 +67,19 @@
    */
   readonly headroomShare: number;
   /**
-   * Most unsaved work that an urgent job beyond its guarantee may stop, per unit of its own work.
-   * The users value urgent work about four times as high as the work that it stops.
+   * Most unsaved work that an urgent job may stop, per unit of its own work. The users value urgent
+   * work about four times as high as the work that it stops.
    */
   readonly lostWorkRatio: number;
+  /** Core-seconds that even the smallest urgent job may stop; the users give each job a base worth. */
+  readonly lostWorkBase: number;
 }
 
-export const defaultPolicy: DispatchPolicy = { headroomShare: 0.35, lostWorkRatio: 4 };
+export const defaultPolicy: DispatchPolicy = {
+  headroomShare: 0.35,
+  lostWorkRatio: 4,
+  lostWorkBase: 400,
+};
 
 /** Everything that the scheduling instance believes. */
 export class DispatchState {
@@ -85,7 +93,7 @@
 
   public readonly estimates = new DurationEstimates();
 
-  public readonly urgentDemand = new UrgentDemand();
+  public readonly urgentHeadroom = new UrgentHeadroom();
 
   public starts: StartOrder[] = [];
 
--- a/packages/testing/src/ReplayWorld.ts
+++ b/packages/testing/src/ReplayWorld.ts
@@ -49,7 +49,12 @@
   endCount: number;
 }
 
-export const replayBounds: DispatchBounds = { stopMs: 900, maxLeaseMs: 6_000, farSlowdown: 3 };
+export const replayBounds: DispatchBounds = {
+  stopMs: 900,
+  reclaimMs: 3_400,
+  maxLeaseMs: 6_000,
+  farSlowdown: 3,
+};
 const stepMs = 20;
 const msPerSecond = 1_000;
 const coresPerAccelerator = 8;
