--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@apricothoist/common';
+import { delay } from '@apricothoist/common';
 import type { Admission, JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
 import { decideAdmission, isFinal, JobState } from '@apricothoist/dispatch';
 
@@ -38,8 +39,9 @@
 
 /** Milliseconds that one call may take, so that there is time for a second one. */
 const callMs = 700;
-/** Calls of the store for one submission: each may lose its answer. */
-const maxCalls = 4;
+/** Pauses in milliseconds between calls of the store for one request; they double. */
+const firstPauseMs = 20;
+const maxPauseMs = 300;
 /** Retry-After in milliseconds while the store refuses or does not answer. */
 const storeRetryMs = 1_000;
 
@@ -76,9 +78,8 @@
       writes: [{ key, value: JSON.stringify(stored) }],
     };
     let mayBeStored = false;
-    for (let call = 0; call < maxCalls && this.clock.monotonic() < deadline; call += 1) {
-      const callDeadline = Math.min(deadline, this.clock.monotonic() + callMs);
-      const result = await this.store.commit(transaction, callDeadline);
+    for (let call = 0; this.clock.monotonic() < deadline; call += 1) {
+      const result = await this.store.commit(transaction, this.limit(deadline));
       if (result.isOk()) {
         return { outcome: SubmitOutcome.accepted, reason: describe(result) };
       }
@@ -90,6 +91,9 @@
           retryAfterMs: storeRetryMs,
         };
       }
+      // Only a further call can tell whether the job is stored, and clients cannot send work that
+      // may have run again by themselves.
+      await delay(Math.min(firstPauseMs * 2 ** call, maxPauseMs));
     }
     return { outcome: SubmitOutcome.unknown, reason: 'store does not answer' };
   }
@@ -143,11 +147,12 @@
     }
     const key = StoreKeys.cancel(id);
     const transaction = { expect: [{ key, revision: absentRevision }], writes: [{ key, value: '' }] };
-    for (let call = 0; call < maxCalls && this.clock.monotonic() < deadline; call += 1) {
+    for (let call = 0; this.clock.monotonic() < deadline; call += 1) {
       const result = await this.store.commit(transaction, this.limit(deadline));
       if (result.isOk()) {
         return Lookup.found;
       }
+      await delay(Math.min(firstPauseMs * 2 ** call, maxPauseMs));
     }
     return Lookup.unknown;
   }
