--- a/packages/instance/src/Election.ts
+++ b/packages/instance/src/Election.ts
@@ -48,6 +48,13 @@
   /** Fires when another instance is found to be the holder. */
   public readonly onLocate: Event<HolderLocation> = this.located.event;
 
+  private readonly doubted = new Emitter<boolean>();
+
+  /** Fires with true when the lease was not renewed in time, and with false when it was after all. */
+  public readonly onDoubt: Event<boolean> = this.doubted.event;
+
+  private isInDoubt = false;
+
   private tenure: Tenure | undefined;
 
   private lease = 0;
@@ -84,6 +91,7 @@
     if (this.tenure !== undefined) {
       this.tenure = undefined;
       this.heldUntil = 0;
+      this.isInDoubt = false;
       this.lost.fire(reason);
     }
   }
@@ -109,13 +117,19 @@
       this.resign('lease ended');
       return;
     }
-    if (this.clock.monotonic() >= this.heldUntil) {
-      this.resign('lease not renewed in time');
-      return;
-    }
+    // Past its time the lease is in doubt: nothing is ordered, but a renewal that succeeds shows that
+    // it never ended, and that nobody has taken over.
+    this.setDoubt(this.clock.monotonic() >= this.heldUntil);
     await delay(renewed.isOk() ? renewEveryMs : this.random.jitter(retryMs, retrySpread));
   }
 
+  private setDoubt(isInDoubt: boolean): void {
+    if (isInDoubt !== this.isInDoubt) {
+      this.isInDoubt = isInDoubt;
+      this.doubted.fire(isInDoubt);
+    }
+  }
+
   private async look(): Promise<void> {
     const found = await this.store.read(StoreKeys.holder, this.clock.monotonic() + callMs);
     if (found.isErr()) {
@@ -179,5 +193,6 @@
     this.gained[Symbol.dispose]();
     this.lost[Symbol.dispose]();
     this.located[Symbol.dispose]();
+    this.doubted[Symbol.dispose]();
   }
 }
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -157,6 +157,9 @@
     this.configurations.onAnswer((error) => this.noteStore(error?.message));
     this.election.onGain((tenure) => this.beginScheduling(tenure));
     this.election.onLose((reason) => this.endScheduling(reason));
+    this.election.onDoubt((isInDoubt) =>
+      log.emit(isInDoubt ? JobEvents.holderInDoubt : JobEvents.holderConfirmed),
+    );
     this.election.onLocate((location) => this.feedClient.connect(location));
     this.feedClient.onChange(({ isConnected, reason }) =>
       log.emit(isConnected ? JobEvents.feedConnected : JobEvents.feedLost, { reason }),
--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -93,7 +93,7 @@
       }
       // Only a further call can tell whether the job is stored, and clients cannot send work that
       // may have run again by themselves.
-      await delay(Math.min(firstPauseMs * 2 ** call, maxPauseMs));
+      await this.pause(call, deadline);
     }
     return { outcome: SubmitOutcome.unknown, reason: 'store does not answer' };
   }
@@ -152,11 +152,17 @@
       if (result.isOk()) {
         return Lookup.found;
       }
-      await delay(Math.min(firstPauseMs * 2 ** call, maxPauseMs));
+      await this.pause(call, deadline);
     }
     return Lookup.unknown;
   }
 
+  // Doubles with each call, and never lasts beyond the deadline.
+  private async pause(call: number, deadline: number): Promise<void> {
+    const leftMs = Math.max(0, deadline - this.clock.monotonic());
+    await delay(Math.min(firstPauseMs * 2 ** call, maxPauseMs, leftMs));
+  }
+
   private limit(deadline: number): number {
     return Math.min(deadline, this.clock.monotonic() + callMs);
   }
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -124,7 +124,7 @@
   public start(): void {
     this.run().catch((error: unknown) => {
       this.services.log.emit(JobEvents.unexpectedError, { message: messageOf(error) });
-      this.services.resign('scheduling failed');
+      this.resign('scheduling failed');
     });
   }
 
@@ -148,13 +148,20 @@
   }
 
   public yieldToSuccessor(runnerId: string): void {
-    this.services.resign(`runner ${runnerId} follows a successor`);
+    this.resign(`runner ${runnerId} follows a successor`);
   }
 
   public reportUnanswered(runnerId: string, message: string): void {
     this.services.log.emit(JobEvents.runnerUnanswered, { runner: runnerId, message });
   }
 
+  // What is left of a former tenure must not end the present one of the same instance.
+  private resign(reason: string): void {
+    if (!this.isStopped) {
+      this.services.resign(reason);
+    }
+  }
+
   private get now(): number {
     return this.services.clock.monotonic();
   }
@@ -277,7 +284,7 @@
       end: processedEnd,
     }));
     if (changed.length > 0 && !(await this.writer.write(changed))) {
-      this.services.resign('progress cannot be stored');
+      this.resign('progress cannot be stored');
       return;
     }
     ends.forEach(({ id, bornAt, end }) => this.storedEnds.set(id, { bornAt, end }));
