--- /dev/null
+++ b/packages/instance/src/instance.test.ts
@@ -0,0 +1,255 @@
+import { delay, Random, SystemClock } from '@apricothoist/common';
+import type { JobSpecification, Queue } from '@apricothoist/dispatch';
+import { JobState } from '@apricothoist/dispatch';
+import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
+import test from 'ava';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+import type { CommitResult, CoordinationStore, StoredItem } from './CoordinationStore.js';
+import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
+import { JobBoard } from './JobBoard.js';
+import { JobService, Lookup, SubmitOutcome } from './JobService.js';
+import { StoreKeys } from './keys.js';
+import type { RunnerClient } from './RunnerClient.js';
+import { Scheduling } from './Scheduling.js';
+import { SuspendClock } from './SuspendClock.js';
+
+const queue: Queue = {
+  name: 'queue',
+  service: 'service',
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 2,
+  targetMs: 250,
+};
+const specification: JobSpecification = {
+  id: '00000000000000aa',
+  queue: 'queue',
+  account: 'anna',
+  service: 'service',
+  payload: '',
+  steps: [
+    {
+      count: 1,
+      size: { cpu: 1, memoryMb: 1, accelerators: 1 },
+      declaredMs: 100,
+      after: [],
+      isGang: false,
+      prefersOneRack: false,
+      savesProgress: false,
+      isLasting: false,
+      usesLeftover: false,
+    },
+  ],
+  occurrences: 1,
+  intervalMs: 0,
+  firstDueAt: 0,
+  acceptedAt: 0,
+};
+const bounds = { stopMs: 900, reclaimMs: 3_400, maxLeaseMs: 6_000, farSlowdown: 3 };
+
+type Commit = Result<CommitResult, CoordinationError>;
+
+/** A store whose answers the test gives. */
+class ScriptedStore implements CoordinationStore {
+  public readonly maxTransactionEntries = 32;
+
+  public readonly items = new Map<string, StoredItem>();
+
+  public commits = 0;
+
+  public constructor(private readonly answer: (call: number) => Promise<Commit> | Commit) {}
+
+  public async read(key: string): Promise<Result<StoredItem | undefined, CoordinationError>> {
+    return ok(this.items.get(key));
+  }
+
+  public async list(prefix: string): ReturnType<CoordinationStore['list']> {
+    const items = [...this.items.values()].filter(({ key }) => key.startsWith(prefix));
+    return ok({ items, revision: 1 });
+  }
+
+  public watch(): ReturnType<CoordinationStore['watch']> {
+    return new Promise(() => {});
+  }
+
+  public async commit(): Promise<Commit> {
+    this.commits += 1;
+    return this.answer(this.commits);
+  }
+
+  public async grantLease(): Promise<Result<number, CoordinationError>> {
+    return ok(1);
+  }
+
+  public async renewLease(): Promise<Result<void, CoordinationError>> {
+    return ok(undefined);
+  }
+
+  public async endLease(): Promise<Result<void, CoordinationError>> {
+    return ok(undefined);
+  }
+}
+
+const committed: Commit = ok({ isCommitted: true, revision: 5 });
+const unanswered: Commit = err(new CoordinationError(CoordinationErrorKind.unanswered, 'no answer'));
+const refused: Commit = err(new CoordinationError(CoordinationErrorKind.refused, 'busy'));
+
+function createScheduling(store: CoordinationStore, resigned: string[]): Scheduling {
+  const clock = new SystemClock();
+  return new Scheduling(
+    {
+      store,
+      registry: { list: async () => ok([]) },
+      runners: {} as RunnerClient,
+      clock,
+      random: new Random(1),
+      log: new EventLog('test', LogLevel.error, LogFormat.json, clock),
+      bounds,
+      token: () => 7,
+      resign: (reason) => resigned.push(reason),
+      publish: () => {},
+    },
+    7,
+    undefined,
+  );
+}
+
+function storeWithJob(answer: (call: number) => Promise<Commit> | Commit): ScriptedStore {
+  const store = new ScriptedStore(answer);
+  const key = StoreKeys.job(specification.id);
+  store.items.set(key, { key, value: JSON.stringify({ specification, queue }), revision: 3 });
+  return store;
+}
+
+test('what is left of a former tenure does not end the present one', async (t) => {
+  let answerCommit: (commit: Commit) => void = () => {};
+  const store = storeWithJob(
+    () =>
+      new Promise((resolve) => {
+        answerCommit = resolve;
+      }),
+  );
+  const resigned: string[] = [];
+  const scheduling = createScheduling(store, resigned);
+  scheduling.start();
+  await delay(60);
+  t.is(store.commits, 1);
+  scheduling[Symbol.dispose]();
+  answerCommit(unanswered);
+  await delay(150);
+  t.deepEqual(resigned, []);
+});
+
+test('progress whose key another holder has taken ends the tenure', async (t) => {
+  const taken: Commit = ok({
+    isCommitted: false,
+    items: [{ key: StoreKeys.holder, value: '{}', revision: 9 }],
+  });
+  const resigned: string[] = [];
+  const scheduling = createScheduling(
+    storeWithJob(() => taken),
+    resigned,
+  );
+  scheduling.start();
+  await delay(80);
+  scheduling[Symbol.dispose]();
+  t.deepEqual(resigned, ['progress cannot be stored']);
+});
+
+test('progress is written again under the version that a lost call has made', async (t) => {
+  const progressKey = StoreKeys.progress(specification.id);
+  const store = storeWithJob((call) => {
+    const moved: Commit = ok({
+      isCommitted: false,
+      items: [
+        { key: StoreKeys.holder, value: '{}', revision: 7 },
+        { key: progressKey, value: '{}', revision: 4 },
+      ],
+    });
+    return [unanswered, moved, committed][call - 1] ?? committed;
+  });
+  const resigned: string[] = [];
+  const scheduling = createScheduling(store, resigned);
+  scheduling.start();
+  await delay(300);
+  t.is(store.commits, 3);
+  t.is(scheduling.dispatcher.state.jobs.get(specification.id)?.storedVersion, 5);
+  scheduling[Symbol.dispose]();
+  t.deepEqual(resigned, []);
+});
+
+test('a submission with an unknown outcome is tried until it is certain', async (t) => {
+  const clock = new SystemClock();
+  const conflict: Commit = ok({ isCommitted: false, items: [] });
+  const store = new ScriptedStore((call) => [unanswered, refused, conflict][call - 1] ?? conflict);
+  const service = new JobService(store, new JobBoard(clock), clock);
+  const answer = await service.submit(specification, queue, clock.monotonic() + 2_000);
+  t.is(answer.outcome, SubmitOutcome.accepted);
+  t.is(store.commits, 3);
+});
+
+test('a submission is refused only when it was certainly not stored', async (t) => {
+  const clock = new SystemClock();
+  const service = (answer: (call: number) => Commit): JobService =>
+    new JobService(new ScriptedStore(answer), new JobBoard(clock), clock);
+  const deadline = clock.monotonic() + 200;
+  const first = await service(() => refused).submit(specification, queue, deadline);
+  t.is(first.outcome, SubmitOutcome.refused);
+  t.true((first.retryAfterMs ?? 0) > 0);
+  const answers = [unanswered, refused];
+  const second = await service((call) => answers[call - 1] ?? refused).submit(
+    specification,
+    queue,
+    deadline,
+  );
+  t.is(second.outcome, SubmitOutcome.unknown);
+  t.true(clock.monotonic() <= deadline + 50, 'answered by the deadline');
+});
+
+test('a refusal for the backlog is not given for a job that is stored already', async (t) => {
+  const clock = new SystemClock();
+  const board = new JobBoard(clock);
+  const outlook = { pending: 9, backlogMs: 90_000, durationMs: 1_000, largestRunner: 8 };
+  board.apply({ isWhole: true, states: [], queues: [['queue', outlook]] });
+  const empty = new JobService(new ScriptedStore(() => committed), board, clock);
+  const deadline = clock.monotonic() + 500;
+  const answer = await empty.submit(specification, queue, deadline);
+  t.is(answer.outcome, SubmitOutcome.refused);
+  t.is(answer.retryAfterMs, 30_000);
+  const stored = new JobService(
+    storeWithJob(() => committed),
+    board,
+    clock,
+  );
+  t.is((await stored.submit(specification, queue, deadline)).outcome, SubmitOutcome.accepted);
+});
+
+test('a job that the board does not know is looked up before it counts as absent', async (t) => {
+  const clock = new SystemClock();
+  const board = new JobBoard(clock);
+  board.apply({ isWhole: true, states: [], queues: [] });
+  const service = new JobService(
+    storeWithJob(() => committed),
+    board,
+    clock,
+  );
+  const deadline = clock.monotonic() + 500;
+  const found = await service.stateOf(specification.id, deadline);
+  t.is(found.state, JobState.queued);
+  t.is((await service.stateOf('00000000000000bb', deadline)).lookup, Lookup.absent);
+});
+
+test('a suspension counts on the clock, a backward step of the time of day does not', (t) => {
+  let monotonic = 1_000;
+  let wall = 50_000;
+  const clock = new SuspendClock({ monotonic: () => monotonic, wall: () => wall });
+  monotonic += 100;
+  wall += 100;
+  t.is(clock.monotonic(), 1_100);
+  wall += 4_000;
+  t.is(clock.monotonic(), 5_100);
+  wall -= 2_000;
+  t.is(clock.monotonic(), 5_100);
+});
