--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,9 +8,12 @@
   mesh: ['common'],
   router: ['common', 'config'],
   scheduler: ['common', 'config'],
-  daemon: ['common', 'config', 'platform', 'mesh', 'router', 'scheduler'],
+  telemetry: ['common'],
+  dispatch: ['common'],
+  instance: ['common', 'dispatch', 'telemetry'],
+  daemon: ['common', 'config', 'platform', 'mesh', 'router', 'scheduler', 'telemetry'],
   cli: ['common', 'config'],
-  testing: ['common', 'platform'],
+  testing: ['common', 'platform', 'dispatch'],
   demo: ['common', 'config', 'platform', 'testing', 'examples'],
   bench: [
     'common',
@@ -45,11 +48,33 @@
   },
 }));
 
+/** Names of the users' platform; only `platform/` may know them. */
+const wireNames =
+  '/^(fencingToken|ackCursor|storeRevision|phases|antiAffinity|sameRack|apiKeys|targetLatencyMs|' +
+  'memMb|gpus|speculative|clockMs|deadlineMs)$|^\\/?(kv-|run-start|run-stop|hold$|servers\\/|op\\/)/';
+const wireMessage = 'a name of the platform; decode it in platform/';
+const wireNamesOnlyInAdapter = {
+  files: ['packages/{dispatch,instance,telemetry,testing}/src/**/*.ts'],
+  rules: {
+    'no-restricted-syntax': [
+      'error',
+      { selector: `Identifier[name=${wireNames}]`, message: wireMessage },
+      { selector: `Literal[value=${wireNames}]`, message: wireMessage },
+    ],
+  },
+};
+
 /** Files whose job is to print, to wait in turn, or to spawn, by their nature. */
-const programs = ['packages/demo/**', 'packages/bench/**', 'packages/faults/**', 'examples/**'];
+const programs = [
+  'packages/demo/**',
+  'packages/bench/**',
+  'packages/faults/**',
+  'packages/soak/**',
+  'examples/**',
+];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'bench-results/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'bench-results/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.typescriptEslint,
@@ -122,5 +147,6 @@
     },
   },
   ...importDirections,
+  wireNamesOnlyInAdapter,
   { files: programs, rules: { 'no-console': 'off' } },
 ];
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -6,12 +6,12 @@
 import type { Describe, Mesh } from '@apricothoist/mesh';
 import { MeshNode } from '@apricothoist/mesh';
 import { HttpInstanceList, HttpStoreTransport, HttpWorkerClient } from '@apricothoist/platform';
+import type { EventLog } from '@apricothoist/telemetry';
 
 import { CallerListener } from './CallerListener.js';
 import type { CoreServices } from './CoreServices.js';
 import { createStatusReport } from './createStatusReport.js';
 import { EntryCore } from './EntryCore.js';
-import type { EventLog } from '@apricothoist/telemetry';
 import { EventKinds } from './events.js';
 import { HttpEndpointSender } from './HttpEndpointSender.js';
 import { InstanceEvents } from './InstanceEvents.js';
--- a/packages/daemon/src/OperatorApi.ts
+++ b/packages/daemon/src/OperatorApi.ts
@@ -4,6 +4,7 @@
 import { messageOf } from '@apricothoist/common';
 import { Urgency } from '@apricothoist/config';
 import { createJob, findImpossibility, PlanChangeKind, shapeSchema } from '@apricothoist/scheduler';
+import type { EventLog } from '@apricothoist/telemetry';
 import { z } from 'zod';
 
 import type { ConfigurationKeeper } from './ConfigurationKeeper.js';
@@ -13,7 +14,6 @@
   PublishError,
 } from './ConfigurationStore.js';
 import { PublishErrorKind } from './ConfigurationStore.js';
-import type { EventLog } from '@apricothoist/telemetry';
 import { EventKinds } from './events.js';
 import type { PlanError, PlanKeeper } from './PlanKeeper.js';
 import type { StatusReport } from './StatusReport.js';
--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -66,8 +66,7 @@
 
   private waitingUnits(job: JobRun): Unit[] {
     return [...job.units.values()].filter(
-      (unit) =>
-        unit.phase === UnitPhase.waiting && unit.retryAt <= this.now && job.isReady(unit),
+      (unit) => unit.phase === UnitPhase.waiting && unit.retryAt <= this.now && job.isReady(unit),
     );
   }
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -21,7 +21,7 @@
 import type { Unit } from './Unit.js';
 import { MemberState, UnitPhase } from './Unit.js';
 import type { StartOutcome } from './UnitLifecycle.js';
-import { UnitLifecycle } from './UnitLifecycle.js';
+import { answerStop, placeMember, UnitLifecycle } from './UnitLifecycle.js';
 
 /** Steady clocks of runners may run slow by this factor, as the platform states. */
 const slowClockFactor = 1.02;
@@ -178,7 +178,7 @@
   public answerStop(runnerId: string, task: string, run: number, now: number): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
-      this.lifecycle.answerStop(runner, task, run, now);
+      answerStop(runner, task, run, now);
     }
   }
 
@@ -257,7 +257,7 @@
         return;
       }
       const runner = this.state.runners.get(runnerId) ?? this.addMissingRunner(unit, runnerId);
-      this.lifecycle.placeMember(unit, member, runner);
+      placeMember(unit, member, runner);
       member.settledAt = now;
       this.noteLease(runnerId, now);
     });
--- a/packages/dispatch/src/Guarantees.ts
+++ b/packages/dispatch/src/Guarantees.ts
@@ -3,10 +3,7 @@
 
 /** Accelerators that a job needs at most at one time. */
 export function peakAccelerators(job: JobRun): number {
-  return Math.max(
-    ...job.specification.steps.map((step) => step.count * step.size.accelerators),
-    0,
-  );
+  return Math.max(...job.specification.steps.map((step) => step.count * step.size.accelerators), 0);
 }
 
 /**
--- a/packages/dispatch/src/PlacementSearch.ts
+++ b/packages/dispatch/src/PlacementSearch.ts
@@ -25,7 +25,7 @@
   public find(unit: Unit, mayLeaveRack: boolean): Placement | undefined {
     const { dataRack, prefersOneRack } = unit.step;
     if (dataRack !== undefined) {
-      const near = this.findWithin(unit, this.ledger.byRack.get(dataRack) ?? []);
+      const near = findWithin(unit, this.ledger.byRack.get(dataRack) ?? []);
       if (near !== undefined || !mayLeaveRack) {
         return near;
       }
@@ -36,14 +36,14 @@
         return packed;
       }
     }
-    return this.findWithin(unit, this.ledger.all);
+    return findWithin(unit, this.ledger.all);
   }
 
   private findInOneRack(unit: Unit): Placement | undefined {
     let best: Placement | undefined;
     let leastLeft = Infinity;
     this.ledger.byRack.forEach((rooms) => {
-      const placement = this.findWithin(unit, rooms);
+      const placement = findWithin(unit, rooms);
       const left = rooms.reduce((sum, { free }) => sum + free.accelerators, 0);
       if (placement !== undefined && left < leastLeft) {
         best = placement;
@@ -52,34 +52,34 @@
     });
     return best;
   }
+}
 
-  // Runners where the unit failed are left out while it fits elsewhere: it has few attempts.
-  private findWithin(unit: Unit, rooms: readonly RunnerRoom[]): Placement | undefined {
-    const sound = rooms.filter(({ runner }) => !unit.failedRunners.has(runner.id));
-    const placement = this.placeWithin(unit, sound);
-    return placement === undefined && sound.length < rooms.length
-      ? this.placeWithin(unit, rooms)
-      : placement;
-  }
+// Runners where the unit failed are left out while it fits elsewhere: it has few attempts.
+function findWithin(unit: Unit, rooms: readonly RunnerRoom[]): Placement | undefined {
+  const sound = rooms.filter(({ runner }) => !unit.failedRunners.has(runner.id));
+  const placement = placeWithin(unit, sound);
+  return placement === undefined && sound.length < rooms.length
+    ? placeWithin(unit, rooms)
+    : placement;
+}
 
-  private placeWithin(unit: Unit, rooms: readonly RunnerRoom[]): Placement | undefined {
-    const candidates = rooms
-      .filter(({ runner }) => isEligible(unit, runner))
-      .map((room) => ({ room, places: countPlaces(unit, room.runner, room.free) }))
-      .filter(({ places }) => places > 0)
-      .sort(compareCandidates);
-    const placement = new Map<string, number>();
-    let missing = unit.members.length;
-    for (const { room, places } of candidates) {
-      const count = Math.min(places, missing);
-      placement.set(room.runner.id, count);
-      missing -= count;
-      if (missing === 0) {
-        return placement;
-      }
+function placeWithin(unit: Unit, rooms: readonly RunnerRoom[]): Placement | undefined {
+  const candidates = rooms
+    .filter(({ runner }) => isEligible(unit, runner))
+    .map((room) => ({ room, places: countPlaces(unit, room.runner, room.free) }))
+    .filter(({ places }) => places > 0)
+    .sort(compareCandidates);
+  const placement = new Map<string, number>();
+  let missing = unit.members.length;
+  for (const { room, places } of candidates) {
+    const count = Math.min(places, missing);
+    placement.set(room.runner.id, count);
+    missing -= count;
+    if (missing === 0) {
+      return placement;
     }
-    return undefined;
   }
+  return undefined;
 }
 
 // The fullest runner comes first.
--- a/packages/dispatch/src/ReportReader.ts
+++ b/packages/dispatch/src/ReportReader.ts
@@ -107,20 +107,20 @@
       this.state.log.decide('orphanStopped', { runner: runner.id, ...running });
       return;
     }
-    this.readProgress(occupant, running, now);
+    readProgress(occupant, running, now);
     if (occupant.member.state === MemberState.ordered) {
       this.lifecycle.confirmMember(occupant.unit, occupant.member, now);
     }
   }
+}
 
-  private readProgress({ unit, member }: Occupant, running: RunningTask, now: number): void {
-    if (running.saved !== '' && running.saved !== unit.saved) {
-      unit.saved = running.saved;
-      unit.savedAt = now;
-    }
-    if (running.percent !== member.percent || unit.phase !== UnitPhase.running) {
-      member.percent = running.percent;
-      member.progressedAt = now;
-    }
+function readProgress({ unit, member }: Occupant, running: RunningTask, now: number): void {
+  if (running.saved !== '' && running.saved !== unit.saved) {
+    unit.saved = running.saved;
+    unit.savedAt = now;
+  }
+  if (running.percent !== member.percent || unit.phase !== UnitPhase.running) {
+    member.percent = running.percent;
+    member.progressedAt = now;
   }
 }
--- a/packages/dispatch/src/Unit.ts
+++ b/packages/dispatch/src/Unit.ts
@@ -20,14 +20,7 @@
 export type UnitPhase = (typeof UnitPhase)[keyof typeof UnitPhase];
 
 export type UnitEvent =
-  | 'reserve'
-  | 'release'
-  | 'order'
-  | 'start'
-  | 'abort'
-  | 'finish'
-  | 'clear'
-  | 'exhaust';
+  'reserve' | 'release' | 'order' | 'start' | 'abort' | 'finish' | 'clear' | 'exhaust';
 
 export const unitChart = new StateChart<UnitPhase, UnitEvent>(unitSource);
 
--- a/packages/dispatch/src/UnitLifecycle.ts
+++ b/packages/dispatch/src/UnitLifecycle.ts
@@ -70,7 +70,7 @@
     );
     unit.members.forEach((member, position) => {
       const runner = this.state.runners.get(runnerIds[position] as string) as Runner;
-      this.placeMember(unit, member, runner);
+      placeMember(unit, member, runner);
       this.state.starts.push({
         runnerId: runner.id,
         jobId: unit.job.id,
@@ -91,17 +91,6 @@
     });
   }
 
-  /** Puts a member on a runner: by an order, or as the stored progress tells. */
-  public placeMember(unit: Unit, member: Member, runner: Runner): void {
-    member.runnerId = runner.id;
-    member.state = MemberState.ordered;
-    member.settledAt = Infinity;
-    member.isStopOrdered = false;
-    member.percent = 0;
-    const occupant: Occupant = { unit, member, run: unit.run };
-    runner.occupants.set(occupantKey(member.task, unit.run), occupant);
-  }
-
   public answerStart(
     runner: Runner,
     task: string,
@@ -132,14 +121,6 @@
     this.abort(unit, outcome, now);
   }
 
-  /** A stop was answered: from now on a report without the run means that it does not run. */
-  public answerStop(runner: Runner, task: string, run: number, now: number): void {
-    const member = runner.occupants.get(occupantKey(task, run))?.member;
-    if (member !== undefined && member.settledAt === Infinity) {
-      member.settledAt = now;
-    }
-  }
-
   /** The member is known to run. */
   public confirmMember(unit: Unit, member: Member, now: number): void {
     member.state = MemberState.present;
@@ -306,3 +287,22 @@
     unit.apply('clear');
   }
 }
+
+/** Puts a member on a runner: by an order, or as the stored progress tells. */
+export function placeMember(unit: Unit, member: Member, runner: Runner): void {
+  member.runnerId = runner.id;
+  member.state = MemberState.ordered;
+  member.settledAt = Infinity;
+  member.isStopOrdered = false;
+  member.percent = 0;
+  const occupant: Occupant = { unit, member, run: unit.run };
+  runner.occupants.set(occupantKey(member.task, unit.run), occupant);
+}
+
+/** A stop was answered: from now on a report without the run means that it does not run. */
+export function answerStop(runner: Runner, task: string, run: number, now: number): void {
+  const member = runner.occupants.get(occupantKey(task, run))?.member;
+  if (member !== undefined && member.settledAt === Infinity) {
+    member.settledAt = now;
+  }
+}
--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -167,7 +167,10 @@
     scene.report('r1');
     scene.report('r2');
     const orders = scene.step(30_000);
-    t.deepEqual(orders.starts.map((order) => order.run), [run, run]);
+    t.deepEqual(
+      orders.starts.map((order) => order.run),
+      [run, run],
+    );
     scene.answer(orders, StartOutcome.started);
     const task = (index: number, end: RunEnd): EndedTask => ({
       ...endedTask(run, index, end),
@@ -197,7 +200,10 @@
   scene.start();
   scene.report('r1', [], [], 2);
   const { stops } = scene.step();
-  t.deepEqual(stops.map(({ runnerId }) => runnerId), ['r2']);
+  t.deepEqual(
+    stops.map(({ runnerId }) => runnerId),
+    ['r2'],
+  );
 });
 
 test('a run that its runner does not list any more is over', (t) => {
@@ -205,7 +211,10 @@
   scene.start();
   scene.now += 10;
   scene.report('r1');
-  t.deepEqual(scene.step().stops.map(({ runnerId }) => runnerId), ['r2']);
+  t.deepEqual(
+    scene.step().stops.map(({ runnerId }) => runnerId),
+    ['r2'],
+  );
 });
 
 test('a report asked for before the start does not end the run', (t) => {
@@ -261,7 +270,10 @@
   after.report('r1');
   after.report('r2');
   const { starts } = after.step();
-  t.deepEqual(starts.map(({ run }) => run), [2, 2]);
+  t.deepEqual(
+    starts.map(({ run }) => run),
+    [2, 2],
+  );
 });
 
 test('after a takeover the lease of an unlisted runner is waited out', (t) => {
--- a/packages/dispatch/src/reclaim.test.ts
+++ b/packages/dispatch/src/reclaim.test.ts
@@ -36,7 +36,11 @@
   fill(world, 2, false);
   fill(world, 2, true);
   world.play(10_000);
-  world.submit({ queue: 'urgent', steps: [{ count: 2, size: whole, isGang: true }], durationMs: 900 });
+  world.submit({
+    queue: 'urgent',
+    steps: [{ count: 2, size: whole, isGang: true }],
+    durationMs: 900,
+  });
   world.play(14_000);
   t.is(world.wastedCoreSeconds, 0);
 });
@@ -45,7 +49,11 @@
   const world = new ReplayWorld(1, 4);
   fill(world, 4, false);
   world.play(3_000);
-  world.submit({ queue: 'urgent', steps: [{ count: 3, size: single, isGang: true }], durationMs: 900 });
+  world.submit({
+    queue: 'urgent',
+    steps: [{ count: 3, size: single, isGang: true }],
+    durationMs: 900,
+  });
   world.play(4_500);
   const stopped = world.decisions.filter(
     ({ kind, fields }) => kind === 'unitAborted' && fields.reason === 'reclaimed',
@@ -57,7 +65,11 @@
   const world = new ReplayWorld(1, 4);
   fill(world, 4, false);
   world.play(3_000);
-  const gang = { queue: 'urgent', steps: [{ count: 1, size: whole, isGang: true }], durationMs: 900 };
+  const gang = {
+    queue: 'urgent',
+    steps: [{ count: 1, size: whole, isGang: true }],
+    durationMs: 900,
+  };
   world.submit(gang);
   world.play(3_200);
   world.submit(gang);
@@ -66,7 +78,11 @@
     ({ kind, fields }) => kind === 'unitAborted' && fields.reason === 'reclaimed',
   );
   t.is(stopped.length, 16);
-  t.true([...world.jobs.values()].filter((job) => job.queue === 'urgent').every((job) => job.endedAt > 0));
+  t.true(
+    [...world.jobs.values()]
+      .filter((job) => job.queue === 'urgent')
+      .every((job) => job.endedAt > 0),
+  );
 });
 
 test('a small job beyond the guarantee does not throw much work away', (t) => {
--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -2,6 +2,7 @@
 import { delay } from '@apricothoist/common';
 import type { Admission, JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
 import { decideAdmission, isFinal, JobState } from '@apricothoist/dispatch';
+import type { Result } from 'neverthrow';
 
 import type { CommitResult, CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { absentRevision, CoordinationErrorKind } from './CoordinationStore.js';
@@ -9,7 +10,6 @@
 import { StoreKeys } from './keys.js';
 import type { StoredJob } from './StoredJob.js';
 import { parseRecord } from './StoredJob.js';
-import type { Result } from 'neverthrow';
 
 export const SubmitOutcome = {
   accepted: 'accepted',
@@ -146,7 +146,10 @@
       return Lookup.found;
     }
     const key = StoreKeys.cancel(id);
-    const transaction = { expect: [{ key, revision: absentRevision }], writes: [{ key, value: '' }] };
+    const transaction = {
+      expect: [{ key, revision: absentRevision }],
+      writes: [{ key, value: '' }],
+    };
     for (let call = 0; this.clock.monotonic() < deadline; call += 1) {
       const result = await this.store.commit(transaction, this.limit(deadline));
       if (result.isOk()) {
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -69,10 +69,7 @@
     const hasUnacknowledged = this.owner.storedEnd(runner.id) > this.acknowledgedEnd;
     return (
       runner.isListed &&
-      (runner.occupants.size > 0 ||
-        !runner.isFenced ||
-        runner.silentCalls > 0 ||
-        hasUnacknowledged)
+      (runner.occupants.size > 0 || !runner.isFenced || runner.silentCalls > 0 || hasUnacknowledged)
     );
   }
 
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,11 +1,7 @@
 /** A job instance: acceptance, state, election, recovery and calls of runners. */
 export { JobInstance } from './JobInstance.js';
 export type { InstanceServices, InstanceSettings } from './JobInstance.js';
-export {
-  absentRevision,
-  CoordinationError,
-  CoordinationErrorKind,
-} from './CoordinationStore.js';
+export { absentRevision, CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
 export type {
   CommitResult,
   CoordinationStore,
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -93,7 +93,9 @@
 }
 
 const committed: Commit = ok({ isCommitted: true, revision: 5 });
-const unanswered: Commit = err(new CoordinationError(CoordinationErrorKind.unanswered, 'no answer'));
+const unanswered: Commit = err(
+  new CoordinationError(CoordinationErrorKind.unanswered, 'no answer'),
+);
 const refused: Commit = err(new CoordinationError(CoordinationErrorKind.refused, 'busy'));
 
 function createScheduling(store: CoordinationStore, resigned: string[]): Scheduling {
--- a/packages/testing/src/ReplayWorld.ts
+++ b/packages/testing/src/ReplayWorld.ts
@@ -230,14 +230,12 @@
         this.endTask(runner, key, task, RunEnd.done);
       }
     });
-    const running = [...runner.tasks.values()].map(
-      ({ order, startedAt, endsAt }): RunningTask => ({
-        task: order.task,
-        run: order.run,
-        saved: '',
-        percent: (100 * (this.now - startedAt)) / (endsAt - startedAt),
-      }),
-    );
+    const running = [...runner.tasks.values()].map(({ order, startedAt, endsAt }): RunningTask => ({
+      task: order.task,
+      run: order.run,
+      saved: '',
+      percent: (100 * (this.now - startedAt)) / (endsAt - startedAt),
+    }));
     this.dispatcher.noteLease(runner.listed.id, this.now);
     const report = { bornAt: 1, askedAt: this.now - 1, running, ended: runner.ended };
     this.dispatcher.readReport(runner.listed.id, report, this.now);
@@ -259,7 +257,9 @@
 
   private start(order: StartOrder): void {
     const runner = this.runners.get(order.runnerId) as VirtualRunner;
-    const decided = this.listeners.map((decide) => decide(order)).find((each) => each !== undefined);
+    const decided = this.listeners
+      .map((decide) => decide(order))
+      .find((each) => each !== undefined);
     const outcome = decided ?? this.tryStart(runner, order);
     this.dispatcher.answerStart(order.runnerId, order.task, order.run, outcome, this.now);
   }
