--- a/eslint.config.js
+++ b/eslint.config.js
@@ -26,6 +26,7 @@
     'testing',
     'demo',
   ],
+  soak: ['common', 'testing'],
   faults: ['common', 'config', 'platform', 'mesh', 'router', 'scheduler', 'daemon', 'testing'],
 };
 const packageNames = [...Object.keys(allowedImports), 'examples'];
