--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -17,6 +17,7 @@
 import { ReportReader } from './ReportReader.js';
 import type { ListedRunner } from './Runner.js';
 import { occupantKey, Runner } from './Runner.js';
+import { RunnerListing } from './RunnerListing.js';
 import { reportBadSign, RunnerSign } from './RunnerSigns.js';
 import type { Unit } from './Unit.js';
 import { MemberState, UnitPhase } from './Unit.js';
@@ -35,9 +36,6 @@
 const rememberMs = 600_000;
 /** Milliseconds kept between the end of a stop and the departure of its runner. */
 const leaveMarginMs = 400;
-/** Milliseconds that an unlisted runner is kept after the registry has dropped it. */
-const unlistedGraceMs = 2_000;
-
 /** What the dispatcher wants to be sent. */
 export interface Orders {
   readonly starts: readonly StartOrder[];
@@ -55,7 +53,9 @@
 
   private readonly reports: ReportReader;
 
-  private readonly unlistedSince = new Map<string, number>();
+  private readonly listing: RunnerListing;
+
+  private forgotten: string[] = [];
 
   private readonly stopOrderedAt = new Map<string, number>();
 
@@ -67,6 +67,7 @@
     this.state = new DispatchState(bounds, log, policy);
     this.lifecycle = new UnitLifecycle(this.state);
     this.reports = new ReportReader(this.state, this.lifecycle);
+    this.listing = new RunnerListing(this.state, this.reports);
   }
 
   /** Takes the queues and accounts of a newer configuration. */
@@ -123,19 +124,7 @@
 
   /** Takes the newest listing of the registry, in whole. */
   public listRunners(listed: readonly ListedRunner[], now: number): void {
-    const ids = new Set(listed.map((runner) => runner.id));
-    listed.forEach((entry) => this.listRunner(entry, now));
-    this.state.runners.forEach((runner) => {
-      if (ids.has(runner.id) || !runner.isListed) {
-        return;
-      }
-      const since = this.unlistedSince.get(runner.id) ?? now;
-      this.unlistedSince.set(runner.id, since);
-      if (now - since >= unlistedGraceMs) {
-        runner.isListed = false;
-        this.state.log.decide('runnerUnlisted', { runner: runner.id });
-      }
-    });
+    this.listing.take(listed, now);
   }
 
   public readReport(runnerId: string, report: RunnerReport, now: number): void {
@@ -209,6 +198,13 @@
     return dirty;
   }
 
+  /** Jobs that are over for so long that nobody asks for them; their records are to be deleted. */
+  public takeForgotten(): string[] {
+    const { forgotten } = this;
+    this.forgotten = [];
+    return forgotten;
+  }
+
   /** What new jobs of each queue have to expect. */
   public describeQueues(): Map<string, QueueOutlook> {
     const { queues, jobs, runners, estimates } = this.state;
@@ -283,32 +279,6 @@
     return runner;
   }
 
-  private listRunner(entry: ListedRunner, now: number): void {
-    const { log } = this.state;
-    this.unlistedSince.delete(entry.id);
-    const known = this.state.runners.get(entry.id);
-    if (known === undefined) {
-      this.state.runners.set(entry.id, new Runner(entry));
-      log.decide('runnerListed', { runner: entry.id, rack: entry.rack, address: entry.address });
-      return;
-    }
-    const isSameLife = known.listed.bornAt === entry.bornAt || known.listed.bornAt === 0;
-    if (!isSameLife && entry.bornAt > known.listed.bornAt) {
-      this.reports.restart(known, entry.bornAt, now);
-    }
-    if (entry.isDraining && !known.listed.isDraining) {
-      known.leavesAt = now + (entry.staysForMs ?? Infinity);
-      log.decide('runnerDraining', { runner: entry.id, staysForMs: entry.staysForMs });
-    }
-    if (!entry.isDraining) {
-      known.leavesAt = Infinity;
-    }
-    known.isListed = true;
-    if (entry.bornAt >= known.listed.bornAt) {
-      known.listed = entry;
-    }
-  }
-
   private checkRunner(runner: Runner, now: number): void {
     if (runner.occupants.size > 0 && runner.leaseEnd > 0 && now > runner.leaseEnd) {
       this.state.log.decide('runnerLapsed', {
@@ -371,12 +341,12 @@
     this.state.runners.forEach((runner) => {
       if (!runner.isListed && runner.occupants.size === 0) {
         this.state.runners.delete(runner.id);
-        this.unlistedSince.delete(runner.id);
       }
     });
     this.state.jobs.forEach((job) => {
       if (job.isOver && now - job.endedAt > rememberMs) {
         this.state.jobs.delete(job.id);
+        this.forgotten.push(job.id);
       }
     });
     this.stopOrderedAt.forEach((orderedAt, key) => {
--- a/packages/instance/src/JobBoard.ts
+++ b/packages/instance/src/JobBoard.ts
@@ -6,6 +6,8 @@
   /** Whether `states` holds all jobs, or only those that changed. */
   readonly isWhole: boolean;
   readonly states: readonly (readonly [id: string, state: JobState])[];
+  /** Jobs whose records are deleted. */
+  readonly forgotten: readonly string[];
   readonly queues: readonly (readonly [queue: string, outlook: QueueOutlook])[];
 }
 
@@ -45,7 +47,7 @@
   }
 
   public snapshot(): BoardUpdate {
-    return { isWhole: true, states: [...this.states], queues: [...this.queues] };
+    return { isWhole: true, states: [...this.states], forgotten: [], queues: [...this.queues] };
   }
 
   public apply(update: BoardUpdate): void {
@@ -54,11 +56,8 @@
     } else {
       update.states.forEach(([id, state]) => this.states.set(id, state));
     }
+    update.forgotten.forEach((id) => this.states.delete(id));
     this.queues = new Map(update.queues);
     this.heardAt = this.clock.monotonic();
   }
-
-  public forget(id: string): void {
-    this.states.delete(id);
-  }
 }
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -72,6 +72,8 @@
 
   private isStoreLost = false;
 
+  private wasReady = false;
+
   public constructor(
     private readonly settings: InstanceSettings,
     private readonly services: InstanceServices,
@@ -101,9 +103,16 @@
     this.follow();
   }
 
-  /** Whether clients should be sent here. */
-  public get isReady(): boolean {
-    return !this.isStopping && this.configurations.ageMs < this.settings.revokeMs * readyShare;
+  /** Whether clients should be sent here; a change is logged. */
+  public checkReady(): boolean {
+    const { ageMs } = this.configurations;
+    const isReady = !this.isStopping && ageMs < this.settings.revokeMs * readyShare;
+    if (isReady !== this.wasReady) {
+      this.wasReady = isReady;
+      const configurationAgeMs = Math.round(ageMs);
+      this.services.log.emit(JobEvents.readinessChanged, { isReady, configurationAgeMs });
+    }
+    return isReady;
   }
 
   /** Whether the configuration is recent enough to accept a key. */
--- a/packages/instance/src/ProgressWriter.ts
+++ b/packages/instance/src/ProgressWriter.ts
@@ -20,6 +20,9 @@
 /** Entries of a transaction for each job: what is expected, and what is written. */
 const jobEntries = 2;
 
+/** Keys of all records of a job. */
+const keysOfJob = [StoreKeys.job, StoreKeys.cancel, StoreKeys.progress];
+
 /** Stores the progress of jobs; only the holder of the token can. */
 export class ProgressWriter {
   public constructor(
@@ -44,6 +47,25 @@
     return true;
   }
 
+  /**
+   * Deletes all records of jobs. What is not deleted for want of an answer is found again by the
+   * next holder.
+   */
+  public async remove(ids: readonly string[]): Promise<void> {
+    const size = Math.floor((this.store.maxTransactionEntries - holderEntries) / keysOfJob.length);
+    const expect = [{ key: StoreKeys.holder, revision: this.token }];
+    for (let first = 0; first < ids.length && this.isCurrent(); first += size) {
+      const deletes = ids
+        .slice(first, first + size)
+        .flatMap((id) => keysOfJob.map((key) => key(id)));
+      const deadline = this.clock.monotonic() + callMs;
+      const result = await this.store.commit({ expect, writes: [], deletes }, deadline);
+      if (result.isErr()) {
+        this.onFailure(result.error, ids.length);
+      }
+    }
+  }
+
   // Repeats until it is certain. A repetition after a lost answer cannot be overtaken by the lost
   // call: both expect the same revisions, and only one of them can find them.
   private async writeBatch(jobs: readonly JobRun[]): Promise<boolean> {
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -6,10 +6,8 @@
   ListedRunner,
   ProgressRecord,
   Runner,
-  StartOrder,
-  StopOrder,
 } from '@apricothoist/dispatch';
-import { Dispatcher, StartOutcome } from '@apricothoist/dispatch';
+import { Dispatcher } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
 import type { Result } from 'neverthrow';
 
@@ -19,9 +17,9 @@
 import { JobWatch } from './JobWatch.js';
 import { parseJobKey, StoreKeys } from './keys.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
+import { OrderSender } from './OrderSender.js';
 import { ProgressWriter } from './ProgressWriter.js';
 import type { RunnerClient } from './RunnerClient.js';
-import { RunnerErrorKind } from './RunnerClient.js';
 import type { LinkOwner } from './RunnerLink.js';
 import { RunnerLink } from './RunnerLink.js';
 import type { StoredJob } from './StoredJob.js';
@@ -37,13 +35,6 @@
 const takeoverCallMs = 2_000;
 /** Milliseconds between news without a change. */
 const newsEveryMs = 500;
-/**
- * Times after which an unanswered start is sent again, in milliseconds. The order is the same, so
- * the runner carries it out once.
- */
-const startAttemptMs = [250, 400, 600];
-const stopCallMs = 500;
-
 /** The registry of runners. */
 export interface RunnerRegistry {
   list(deadline: number): Promise<Result<readonly ListedRunner[], CoordinationError>>;
@@ -80,6 +71,8 @@
 
   private readonly writer: ProgressWriter;
 
+  private readonly sender: OrderSender;
+
   private isStopped = false;
 
   private isWoken = false;
@@ -104,6 +97,10 @@
     if (configuration !== undefined) {
       this.configure(configuration);
     }
+    const { runners } = services;
+    this.sender = new OrderSender(this.dispatcher, runners, clock, this, (error) =>
+      this.fail(error),
+    );
     this.watch = new JobWatch(store, clock, random, (items) => this.takeItems(items));
     this.writer = new ProgressWriter(
       store,
@@ -276,7 +273,7 @@
   private async step(): Promise<void> {
     this.listIfDue();
     const orders = this.dispatcher.step(this.now, this.services.clock.wall());
-    orders.stops.forEach((order) => this.stop(order));
+    orders.stops.forEach((order) => this.sender.stop(order));
     const changed = this.dispatcher.takeDirty();
     const ends = [...this.dispatcher.state.runners.values()].map(
       ({ id, listed, processedEnd }) => ({
@@ -293,18 +290,26 @@
     if (this.token === undefined) {
       return;
     }
-    orders.starts.forEach((order) => this.send(order));
+    orders.starts.forEach((order) => this.sender.start(order));
     this.updateLinks();
+    const forgotten = this.dispatcher.takeForgotten();
+    if (forgotten.length > 0) {
+      await this.writer.remove(forgotten);
+    }
     if (changed.length > 0 || this.now - this.toldAt >= newsEveryMs) {
-      this.publish(false, changed);
+      this.publish(false, changed, forgotten);
     }
   }
 
-  private publish(isWhole: boolean, jobs: readonly JobRun[]): void {
+  private publish(
+    isWhole: boolean,
+    jobs: readonly JobRun[],
+    forgotten: readonly string[] = [],
+  ): void {
     this.toldAt = this.now;
     const queues = [...this.dispatcher.describeQueues()];
     const states = jobs.map((job) => [job.id, job.state] as const);
-    this.services.publish({ isWhole, states, queues });
+    this.services.publish({ isWhole, states, forgotten, queues });
   }
 
   private listIfDue(): void {
@@ -351,57 +356,6 @@
     link.start((error) => this.fail(error));
   }
 
-  private send(order: StartOrder): void {
-    this.startTask(order).catch((error: unknown) => this.fail(error));
-  }
-
-  private async startTask(order: StartOrder): Promise<void> {
-    const runner = this.dispatcher.state.runners.get(order.runnerId);
-    let outcome: StartOutcome = StartOutcome.unknown;
-    for (const attemptMs of startAttemptMs) {
-      if (runner === undefined || this.token === undefined) {
-        break;
-      }
-      const sentAt = this.now;
-      this.dispatcher.noteLease(runner.id, sentAt);
-      const { listed } = runner;
-      const { runners } = this.services;
-      outcome = await runners.start(listed, order, this.tenureToken, sentAt + attemptMs);
-      if (outcome !== StartOutcome.unknown) {
-        break;
-      }
-    }
-    if (this.isStopped) {
-      return;
-    }
-    if (outcome === StartOutcome.fenced) {
-      this.yieldToSuccessor(order.runnerId);
-    }
-    this.dispatcher.answerStart(order.runnerId, order.task, order.run, outcome, this.now);
-    this.wake();
-  }
-
-  private stop(order: StopOrder): void {
-    const runner = this.dispatcher.state.runners.get(order.runnerId);
-    if (runner === undefined || runner.listed.address === '') {
-      return;
-    }
-    this.services.runners
-      .stop(runner.listed, order, this.tenureToken, this.now + stopCallMs)
-      .then((answer) => {
-        if (this.isStopped) {
-          return;
-        }
-        if (answer.isOk()) {
-          this.dispatcher.answerStop(order.runnerId, order.task, order.run, this.now);
-          this.links.get(order.runnerId)?.wake();
-        } else if (answer.error.kind === RunnerErrorKind.fenced) {
-          this.yieldToSuccessor(order.runnerId);
-        }
-      })
-      .catch((error: unknown) => this.fail(error));
-  }
-
   private fail(error: unknown): void {
     this.services.log.emit(JobEvents.unexpectedError, { message: messageOf(error) });
   }
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -1,13 +1,21 @@
+import { readdirSync, readFileSync } from 'node:fs';
+
 import { delay, Random, SystemClock } from '@apricothoist/common';
 import type { JobSpecification, Queue } from '@apricothoist/dispatch';
 import { JobState } from '@apricothoist/dispatch';
-import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
+import { EventLog, linesDropped, LogFormat, LogLevel } from '@apricothoist/telemetry';
 import test from 'ava';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
-import type { CommitResult, CoordinationStore, StoredItem } from './CoordinationStore.js';
+import type {
+  CommitResult,
+  CoordinationStore,
+  StoredItem,
+  Transaction,
+} from './CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
+import { DecisionEvents, JobEvents } from './events.js';
 import { JobBoard } from './JobBoard.js';
 import { JobService, Lookup, SubmitOutcome } from './JobService.js';
 import { StoreKeys } from './keys.js';
@@ -74,8 +82,11 @@
     return new Promise(() => {});
   }
 
-  public async commit(): Promise<Commit> {
+  public readonly deleted: string[] = [];
+
+  public async commit(transaction: Transaction): Promise<Commit> {
     this.commits += 1;
+    this.deleted.push(...(transaction.deletes ?? []));
     return this.answer(this.commits);
   }
 
@@ -182,6 +193,25 @@
   t.deepEqual(resigned, []);
 });
 
+test('records of jobs that ended long ago are deleted, and forgotten everywhere', async (t) => {
+  const store = storeWithJob(() => committed);
+  const resigned: string[] = [];
+  const scheduling = createScheduling(store, resigned);
+  scheduling.start();
+  await delay(60);
+  scheduling.dispatcher.cancelJob(specification.id, -700_000);
+  await delay(250);
+  scheduling[Symbol.dispose]();
+  t.false(scheduling.dispatcher.state.jobs.has(specification.id));
+  t.true(store.deleted.includes(StoreKeys.job(specification.id)));
+  t.true(store.deleted.includes(StoreKeys.progress(specification.id)));
+  const board = new JobBoard(new SystemClock());
+  const states = [[specification.id, JobState.cancelled]] as const;
+  board.apply({ isWhole: true, states, forgotten: [], queues: [] });
+  board.apply({ isWhole: false, states: [], forgotten: [specification.id], queues: [] });
+  t.is(board.stateOf(specification.id), undefined);
+});
+
 test('a submission with an unknown outcome is tried until it is certain', async (t) => {
   const clock = new SystemClock();
   const conflict: Commit = ok({ isCommitted: false, items: [] });
@@ -214,7 +244,7 @@
   const clock = new SystemClock();
   const board = new JobBoard(clock);
   const outlook = { pending: 9, backlogMs: 90_000, durationMs: 1_000, largestRunner: 8 };
-  board.apply({ isWhole: true, states: [], queues: [['queue', outlook]] });
+  board.apply({ isWhole: true, states: [], forgotten: [], queues: [['queue', outlook]] });
   const empty = new JobService(new ScriptedStore(() => committed), board, clock);
   const deadline = clock.monotonic() + 500;
   const answer = await empty.submit(specification, queue, deadline);
@@ -231,7 +261,7 @@
 test('a job that the board does not know is looked up before it counts as absent', async (t) => {
   const clock = new SystemClock();
   const board = new JobBoard(clock);
-  board.apply({ isWhole: true, states: [], queues: [] });
+  board.apply({ isWhole: true, states: [], forgotten: [], queues: [] });
   const service = new JobService(
     storeWithJob(() => committed),
     board,
@@ -243,6 +273,33 @@
   t.is((await service.stateOf('00000000000000bb', deadline)).lookup, Lookup.absent);
 });
 
+test('every log event of a job instance is explained in the documentation, and no other', (t) => {
+  const page = readFileSync(new URL('../../../docs/EVENTS.md', import.meta.url), 'utf8');
+  const documented = [...page.matchAll(/^\| J(\d+) \| (\w+) \| ([^|]+) \|/gm)].map(
+    ([, code, level, text = '']) => `${code} ${level} ${text.trim()}`,
+  );
+  const kinds = [...Object.values(JobEvents), ...Object.values(DecisionEvents), linesDropped];
+  t.deepEqual(
+    documented.sort(),
+    kinds.map(({ code, level, text }) => `${code} ${level} ${text}`).sort(),
+  );
+  t.is(new Set(kinds.map(({ code }) => code)).size, kinds.length);
+});
+
+test('every log event of a job instance is emitted somewhere', (t) => {
+  const folders = ['../src/', '../../dispatch/src/', '../../../platform/src/'];
+  const sources = folders
+    .map((folder) => new URL(folder, import.meta.url))
+    .flatMap((folder) =>
+      readdirSync(folder)
+        .filter((name) => name.endsWith('.ts') && !name.endsWith('.test.ts'))
+        .map((name) => readFileSync(new URL(name, folder), 'utf8')),
+    )
+    .join('\n');
+  Object.keys(JobEvents).forEach((name) => t.true(sources.includes(`JobEvents.${name}`), name));
+  Object.keys(DecisionEvents).forEach((name) => t.true(sources.includes(`'${name}'`), name));
+});
+
 test('a suspension counts on the clock, a backward step of the time of day does not', (t) => {
   let monotonic = 1_000;
   let wall = 50_000;
