--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -24,6 +24,8 @@
   readonly isGuaranteed: boolean;
   readonly isUrgent: boolean;
   readonly standing: Standing;
+  /** Share of the objective that is left if the job starts now; negative when it will be late. */
+  readonly slackShare: number;
   /** Work left in core-seconds. */
   readonly work: number;
   /** Greater is served first among equals. */
@@ -112,6 +114,7 @@
     isGuaranteed,
     isUrgent: job.queue.priority === 0,
     standing: standingOf(waitedMs + leftMs, objective),
+    slackShare: 1 - (waitedMs + leftMs) / objective,
     work,
     score:
       (priorityRatio ** -job.queue.priority * (1 + waitedMs / objective)) /
--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -11,6 +11,7 @@
 import type { UnitLifecycle } from './UnitLifecycle.js';
 import type { Unit } from './Unit.js';
 import { UnitPhase } from './Unit.js';
+import { urgentAccelerators } from './UrgentDemand.js';
 import { VictimSearch } from './VictimSearch.js';
 
 /** Milliseconds beyond the longest stop after which a reservation is given up and sought anew. */
@@ -18,6 +19,8 @@
 
 /** Milliseconds kept for the orders of a reclaim within the bound of a guarantee. */
 const reclaimMarginMs = 700;
+/** Share of its objective that a job must have to spare to wait for likely urgent jobs. */
+const patientShare = 0.4;
 /** Worth of a late job against one in time, as the users weigh them. */
 const lateShare = 0.25;
 
@@ -34,6 +37,9 @@
   /** Accelerators that work which cannot be saved leaves to urgent jobs. */
   private readonly headroom: number;
 
+  /** The same for work that can wait. */
+  private readonly patientHeadroom: number;
+
   public constructor(
     private readonly state: DispatchState,
     private readonly lifecycle: UnitLifecycle,
@@ -44,16 +50,25 @@
     this.ledger = new RoomLedger(this.usable);
     this.places = new PlacementSearch(this.ledger);
     this.covered = coveredJobs(state.jobs.values(), state.accounts);
-    this.headroom = this.measureHeadroom();
+    const most = this.totalAccelerators * state.policy.headroomShare;
+    this.headroom = state.urgentHeadroom.at(now, most);
+    this.patientHeadroom = Math.max(this.headroom, Math.min(most, this.expectUrgent()));
   }
 
   public run(): void {
     this.ranks().forEach((rank) => this.serve(rank));
   }
 
-  private measureHeadroom(): number {
-    const total = this.usable.reduce((sum, { listed }) => sum + listed.capacity.accelerators, 0);
-    return this.state.urgentHeadroom.at(this.now, total * this.state.policy.headroomShare);
+  private get totalAccelerators(): number {
+    return this.usable.reduce((sum, { listed }) => sum + listed.capacity.accelerators, 0);
+  }
+
+  // Accelerators that urgent jobs are likely to ask for besides what they use or wait for now.
+  private expectUrgent(): number {
+    const { urgentDemand, jobs } = this.state;
+    const wanted = urgentAccelerators(jobs.values());
+    urgentDemand.observe(wanted, this.now);
+    return urgentDemand.covered - wanted;
   }
 
   private ranks(): JobRank[] {
@@ -84,7 +99,7 @@
   }
 
   private place(unit: Unit, rank: JobRank): boolean {
-    if (!rank.isUrgent && !unit.step.savesProgress && !this.leavesHeadroom(unit)) {
+    if (!rank.isUrgent && !unit.step.savesProgress && !this.leavesHeadroom(unit, rank)) {
       return false;
     }
     const placement = this.places.find(unit, !this.couldFitNear(unit));
@@ -97,9 +112,10 @@
     return mayReclaim && this.reclaim(unit, rank);
   }
 
-  private leavesHeadroom(unit: Unit): boolean {
+  private leavesHeadroom(unit: Unit, rank: JobRank): boolean {
     const wanted = unit.size.accelerators * unit.members.length;
-    return this.headroom === 0 || this.ledger.freeAccelerators - wanted >= this.headroom;
+    const kept = rank.slackShare > patientShare ? this.patientHeadroom : this.headroom;
+    return kept === 0 || this.ledger.freeAccelerators - wanted >= kept;
   }
 
   private reclaim(unit: Unit, rank: JobRank): boolean {
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -2,6 +2,7 @@
 import type { Account, Queue } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import type { Runner } from './Runner.js';
+import { UrgentDemand } from './UrgentDemand.js';
 import { UrgentHeadroom } from './UrgentHeadroom.js';
 
 /** An order to start one task; to be sent once the job's progress is stored. */
@@ -95,6 +96,8 @@
 
   public readonly urgentHeadroom = new UrgentHeadroom();
 
+  public readonly urgentDemand = new UrgentDemand();
+
   public starts: StartOrder[] = [];
 
   public stops: StopOrder[] = [];
