Tasks that were started in the new life of a runner are not taken for lost

Cause: when a report or an entry told of a new life, every task on the runner counted as lost, also one that the new life had just started; it was stopped and started again elsewhere (TWICE). The normal rule, a report that does not list a run, settles both cases. Ruled out: acknowledgements that reach the new life. Two unit tests fail without the change.

--- a/packages/dispatch/src/ReportReader.ts
+++ b/packages/dispatch/src/ReportReader.ts
@@ -44,7 +44,7 @@
 
   public read(runner: Runner, report: RunnerReport, now: number): void {
     if (report.bornAt !== 0 && report.bornAt !== runner.listed.bornAt) {
-      this.restart(runner, report.bornAt, now);
+      this.restart(runner, report.bornAt);
     }
     runner.isFenced = true;
     runner.silentCalls = 0;
@@ -63,13 +63,15 @@
     });
   }
 
-  /** The runner began a new life: nothing of the former one runs. */
-  public restart(runner: Runner, bornAt: number, now: number): void {
+  /**
+   * The runner began a new life. What it runs now its next report tells: a task may have been started
+   * in the new life already.
+   */
+  public restart(runner: Runner, bornAt: number): void {
     this.state.log.decide('runnerReborn', { runner: runner.id, bornAt });
     runner.listed = { ...runner.listed, bornAt };
     runner.isFenced = false;
     runner.processedEnd = 0;
-    this.lose(runner, now);
   }
 
   /** Nothing that was on the runner runs any more. */
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -54,7 +54,7 @@
     }
     const knownBornAt = known.listed.bornAt;
     if (knownBornAt !== 0 && entry.bornAt > knownBornAt) {
-      this.reports.restart(known, entry.bornAt, now);
+      this.reports.restart(known, entry.bornAt);
     }
     if (entry.isDraining && !known.listed.isDraining) {
       known.leavesAt = now + (entry.staysForMs ?? Infinity);
--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -198,6 +198,7 @@
 test('a runner in a new life runs nothing of the former one', (t) => {
   const scene = new Scene();
   scene.start();
+  scene.now += 10;
   scene.report('r1', [], [], 2);
   const { stops } = scene.step();
   t.deepEqual(
@@ -206,6 +207,26 @@
   );
 });
 
+test('a task that was started in the new life of its runner goes on', (t) => {
+  const scene = new Scene();
+  scene.start();
+  scene.now += 10;
+  scene.report('r1', [runningTask(0)], [], 2);
+  t.deepEqual(scene.step(), { starts: [], stops: [] });
+  scene.report('r1', [], [endedTask(1, 0, RunEnd.done)], 2);
+  t.is(scene.state, 'completed');
+});
+
+test('an entry of a new life does not end what was started in that life', (t) => {
+  const scene = new Scene();
+  scene.start();
+  scene.dispatcher.listRunners([listed('r1', { bornAt: 2 }), listed('r2')], scene.now + 1);
+  t.deepEqual(scene.step(), { starts: [], stops: [] });
+  scene.now += 10;
+  scene.report('r1', [runningTask(0)], [], 2);
+  t.deepEqual(scene.step(), { starts: [], stops: [] });
+});
+
 test('a run that its runner does not list any more is over', (t) => {
   const scene = new Scene();
   scene.start();
