Submissions are refused at once while the store is known not to answer

Cause: with the store away each new submission was tried until its deadline and then answered 504; held for three seconds although it was known that it could not be served. Test: no call is made, and Retry-After is given.

--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -80,7 +80,7 @@
   ) {
     const { store, clock, random, log } = services;
     this.board = new JobBoard(clock);
-    this.jobs = new JobService(store, this.board, clock);
+    this.jobs = new JobService(store, this.board, clock, () => this.isStoreLost);
     this.configurations = this.owned.register(
       new ConfigurationFollower(
         store,
--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -51,6 +51,8 @@
     private readonly store: CoordinationStore,
     private readonly board: JobBoard,
     private readonly clock: Clock,
+    /** Whether the store is known not to answer this instance. */
+    private readonly isStoreLost: () => boolean,
   ) {}
 
   /**
@@ -66,6 +68,11 @@
     if (this.board.stateOf(specification.id) !== undefined) {
       return { outcome: SubmitOutcome.accepted, reason: 'already known' };
     }
+    if (this.isStoreLost()) {
+      // Without a call it is certain that nothing is stored.
+      const reason = 'the store is known not to answer';
+      return { outcome: SubmitOutcome.refused, reason, retryAfterMs: storeRetryMs };
+    }
     const outlook = this.board.isFresh ? this.board.outlookOf(queue.name) : undefined;
     const admission = decideAdmission(specification, queue, outlook);
     if (!admission.isAccepted) {
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -103,6 +103,7 @@
   }
 }
 
+const isReached = (): boolean => false;
 const committed: Commit = ok({ isCommitted: true, revision: 5 });
 const unanswered: Commit = err(
   new CoordinationError(CoordinationErrorKind.unanswered, 'no answer'),
@@ -216,7 +217,7 @@
   const clock = new SystemClock();
   const conflict: Commit = ok({ isCommitted: false, items: [] });
   const store = new ScriptedStore((call) => [unanswered, refused, conflict][call - 1] ?? conflict);
-  const service = new JobService(store, new JobBoard(clock), clock);
+  const service = new JobService(store, new JobBoard(clock), clock, isReached);
   const answer = await service.submit(specification, queue, clock.monotonic() + 2_000);
   t.is(answer.outcome, SubmitOutcome.accepted);
   t.is(store.commits, 3);
@@ -225,7 +226,7 @@
 test('a submission is refused only when it was certainly not stored', async (t) => {
   const clock = new SystemClock();
   const service = (answer: (call: number) => Commit): JobService =>
-    new JobService(new ScriptedStore(answer), new JobBoard(clock), clock);
+    new JobService(new ScriptedStore(answer), new JobBoard(clock), clock, isReached);
   const deadline = clock.monotonic() + 200;
   const first = await service(() => refused).submit(specification, queue, deadline);
   t.is(first.outcome, SubmitOutcome.refused);
@@ -240,12 +241,22 @@
   t.true(clock.monotonic() <= deadline + 50, 'answered by the deadline');
 });
 
+test('a submission is refused at once while the store is known not to answer', async (t) => {
+  const clock = new SystemClock();
+  const store = new ScriptedStore(() => unanswered);
+  const service = new JobService(store, new JobBoard(clock), clock, () => true);
+  const answer = await service.submit(specification, queue, clock.monotonic() + 2_000);
+  t.is(answer.outcome, SubmitOutcome.refused);
+  t.true((answer.retryAfterMs ?? 0) > 0);
+  t.is(store.commits, 0, 'only without a call it is certain');
+});
+
 test('a refusal for the backlog is not given for a job that is stored already', async (t) => {
   const clock = new SystemClock();
   const board = new JobBoard(clock);
   const outlook = { pending: 9, backlogMs: 90_000, durationMs: 1_000, largestRunner: 8 };
   board.apply({ isWhole: true, states: [], forgotten: [], queues: [['queue', outlook]] });
-  const empty = new JobService(new ScriptedStore(() => committed), board, clock);
+  const empty = new JobService(new ScriptedStore(() => committed), board, clock, isReached);
   const deadline = clock.monotonic() + 500;
   const answer = await empty.submit(specification, queue, deadline);
   t.is(answer.outcome, SubmitOutcome.refused);
@@ -254,6 +265,7 @@
     storeWithJob(() => committed),
     board,
     clock,
+    isReached,
   );
   t.is((await stored.submit(specification, queue, deadline)).outcome, SubmitOutcome.accepted);
 });
@@ -266,6 +278,7 @@
     storeWithJob(() => committed),
     board,
     clock,
+    isReached,
   );
   const deadline = clock.monotonic() + 500;
   const found = await service.stateOf(specification.id, deadline);
