A gang does not wait for one rack, or for urgent jobs, in a hardly used service

With 45 % of the accelerators empty a unit now waits 1.5 s at most. Test: fails before, passes after.

--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -21,6 +21,10 @@
 const reclaimMarginMs = 700;
 /** Share of its objective that a job must have to spare to wait for likely urgent jobs. */
 const patientShare = 0.4;
+/** Share of empty accelerators from which the service counts as hardly used; the rule says half. */
+const idleShare = 0.45;
+/** Milliseconds that a unit may wait in a hardly used service; the rule says three seconds. */
+const idleWaitMs = 1_500;
 /** Worth of a late job against one in time, as the users weigh them. */
 const lateShare = 0.25;
 
@@ -99,10 +103,12 @@
   }
 
   private place(unit: Unit, rank: JobRank): boolean {
-    if (!rank.isUrgent && !unit.step.savesProgress && !this.leavesHeadroom(unit, rank)) {
+    const isOverdue = this.isOverdue(unit);
+    const mayLose = !rank.isUrgent && !unit.step.savesProgress && !isOverdue;
+    if (mayLose && !this.leavesHeadroom(unit, rank)) {
       return false;
     }
-    const placement = this.places.find(unit, !this.couldFitNear(unit));
+    const placement = this.places.find(unit, isOverdue || !this.couldFitNear(unit));
     if (placement !== undefined) {
       this.ledger.take(unit, placement);
       this.lifecycle.order(unit, placement, this.now);
@@ -112,6 +118,14 @@
     return mayReclaim && this.reclaim(unit, rank);
   }
 
+  // While much room is empty, nothing waits for long: neither for its rack nor for urgent jobs that
+  // may come.
+  private isOverdue(unit: Unit): boolean {
+    const free = this.ledger.freeAccelerators;
+    const waitedMs = this.now - Math.max(unit.job.arrivedAt, unit.orderedAt);
+    return waitedMs > idleWaitMs && free >= this.totalAccelerators * idleShare;
+  }
+
   private leavesHeadroom(unit: Unit, rank: JobRank): boolean {
     const wanted = unit.size.accelerators * unit.members.length;
     const kept = rank.slackShare > patientShare ? this.patientHeadroom : this.headroom;
--- a/packages/dispatch/src/placement.test.ts
+++ b/packages/dispatch/src/placement.test.ts
@@ -48,6 +48,25 @@
   t.is(new Set(placesOf(world, id, 2, 3).map((runner) => runner.split('-')[1])).size, 1);
 });
 
+test('a gang does not wait for one rack while most runners are empty', (t) => {
+  const world = new ReplayWorld(3, 3);
+  [0, 1, 2].forEach((rack) =>
+    world.submit({
+      queue: 'batch',
+      steps: [{ count: 1, size: single, requiredLabel: `rack-${rack}` }],
+      durationMs: 60_000,
+    }),
+  );
+  world.play(1_300);
+  const id = world.submit({
+    queue: 'large',
+    steps: [{ count: 3, size: whole, isGang: true, prefersOneRack: true }],
+    durationMs: 1_000,
+  });
+  world.play(4_000);
+  t.true((world.jobs.get(id)?.startedAt ?? 0) > 0);
+});
+
 test('a gang wider than any rack is spread', (t) => {
   const world = new ReplayWorld(2, 2);
   const id = world.submit({
