--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,9 +1,11 @@
 import { writeFileSync } from 'node:fs';
 import process from 'node:process';
 
+import { messageOf } from '@apricothoist/common';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
+import type { SoakResult } from './runSeed.js';
 import { runSeed } from './runSeed.js';
 
 const options = await yargs(hideBin(process.argv))
@@ -25,12 +27,22 @@
 let failures = 0;
 const last = options.first + options.seeds - 1;
 
+// A seed that cannot be played counts as broken, and does not end the others.
+async function playSeed(seed: number): Promise<SoakResult> {
+  const { instances, runners, clients, seconds } = options;
+  try {
+    return await runSeed({ seed, instances, runners, clients, faultMs: seconds * 1_000 });
+  } catch (error) {
+    const broken = [`not played: ${messageOf(error)}`];
+    return { seed, faults: [], jobs: 0, accepted: 0, broken, logs: '' };
+  }
+}
+
 async function work(): Promise<void> {
   while (next <= last) {
     const seed = next;
     next += 1;
-    const { instances, runners, clients, seconds } = options;
-    const result = await runSeed({ seed, instances, runners, clients, faultMs: seconds * 1_000 });
+    const result = await playSeed(seed);
     const verdict = result.broken.length === 0 ? 'ok' : 'BROKEN';
     console.log(
       `seed ${seed}: ${verdict}, ${result.accepted} of ${result.jobs} jobs accepted, ` +
