--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,3 +14,4 @@
 export { LayerError, messageOf } from './LayerError.js';
 export { Secret } from './Secret.js';
 export { delay } from './delay.js';
+export { msPerSecond } from './units.js';
--- /dev/null
+++ b/packages/common/src/units.ts
@@ -0,0 +1,1 @@
+export const msPerSecond = 1_000;
--- a/packages/dispatch/src/Admission.ts
+++ b/packages/dispatch/src/Admission.ts
@@ -24,6 +24,7 @@
 
 /** Share of the accelerators that is in use on average under load; the rest is lost to gaps. */
 const usableShare = 0.8;
+/** Bounds of a Retry-After in milliseconds: its unit is a second, and clients retry four times. */
 const minRetryMs = 1_000;
 const maxRetryMs = 30_000;
 
--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -1,3 +1,5 @@
+import { msPerSecond } from '@apricothoist/common';
+
 import type { DurationEstimates } from './DurationEstimates.js';
 import type { JobRun } from './JobRun.js';
 import { coresOf, multiply } from './Resources.js';
@@ -32,7 +34,6 @@
   readonly score: number;
 }
 
-const msPerSecond = 1_000;
 /** Worth of a priority against the next lower one: the ratio of the users' two batch queues. */
 const priorityRatio = 3;
 /** Work in core-seconds below which a smaller job is not preferred any more. */
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -15,19 +15,16 @@
 import type { ProgressRecord } from './ProgressRecord.js';
 import type { RunnerReport } from './ReportReader.js';
 import { ReportReader } from './ReportReader.js';
-import type { ListedRunner } from './Runner.js';
-import { occupantKey, Runner } from './Runner.js';
+import { Restoration } from './Restoration.js';
+import type { ListedRunner, Runner } from './Runner.js';
+import { extendLease, occupantKey } from './Runner.js';
 import { RunnerListing } from './RunnerListing.js';
 import { reportBadSign, RunnerSign } from './RunnerSigns.js';
 import type { Unit } from './Unit.js';
-import { MemberState, UnitPhase } from './Unit.js';
+import { UnitPhase } from './Unit.js';
 import type { StartOutcome } from './UnitLifecycle.js';
-import { answerStop, placeMember, UnitLifecycle } from './UnitLifecycle.js';
+import { answerStop, UnitLifecycle } from './UnitLifecycle.js';
 
-/** Steady clocks of runners may run slow by this factor, as the platform states. */
-const slowClockFactor = 1.02;
-/** Milliseconds added to a lease before it counts as over, for delays of timers. */
-const leaseSlackMs = 150;
 /** Milliseconds without progress after which a running task counts as stalled. */
 const stalledMs = 2_500;
 /** Milliseconds after which an unanswered stop is ordered again. */
@@ -55,6 +52,8 @@
 
   private readonly listing: RunnerListing;
 
+  private readonly restoration: Restoration;
+
   private forgotten: string[] = [];
 
   private readonly stopOrderedAt = new Map<string, number>();
@@ -68,6 +67,7 @@
     this.lifecycle = new UnitLifecycle(this.state);
     this.reports = new ReportReader(this.state, this.lifecycle);
     this.listing = new RunnerListing(this.state, this.reports);
+    this.restoration = new Restoration(this.state, this.lifecycle);
   }
 
   /** Takes the queues and accounts of a newer configuration. */
@@ -102,7 +102,7 @@
     this.state.jobs.set(job.id, job);
     if (stored !== undefined) {
       job.storedVersion = stored.version;
-      this.restore(job, stored.progress, now);
+      this.restoration.restore(job, stored.progress, now);
     }
     this.state.log.decide('jobQueued', {
       job: job.id,
@@ -146,8 +146,7 @@
   public noteLease(runnerId: string, now: number): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
-      const lastsMs = this.state.bounds.maxLeaseMs * slowClockFactor + leaseSlackMs;
-      runner.leaseEnd = Math.max(runner.leaseEnd, now + lastsMs);
+      extendLease(runner, this.state.bounds, now);
     }
   }
 
@@ -211,74 +210,6 @@
     return describeQueues(queues, jobs.values(), runners.values(), estimates);
   }
 
-  private restore(job: JobRun, progress: ProgressRecord, now: number): void {
-    job.state = progress.state;
-    job.hasStarted = progress.hasStarted;
-    if (job.isOver) {
-      job.endedAt = now;
-      return;
-    }
-    while (job.createdOccurrences < progress.occurrences) {
-      job.createDueUnits(job.dueAt(job.createdOccurrences));
-    }
-    progress.done.forEach((key) => {
-      const unit = job.units.get(key);
-      if (unit !== undefined) {
-        unit.phase = UnitPhase.done;
-      }
-    });
-    progress.units.forEach(([key, run, failures, saved, runnerIds]) => {
-      const unit = job.units.get(key);
-      if (unit !== undefined) {
-        unit.run = run;
-        unit.failures = failures;
-        unit.saved = saved;
-        this.restorePlaces(unit, runnerIds, now);
-      }
-    });
-  }
-
-  // Members wait for the report of their runner, or for the end of the lease that the former
-  // scheduler may have extended until just now.
-  private restorePlaces(unit: Unit, runnerIds: readonly (string | null)[], now: number): void {
-    if (runnerIds.every((runnerId) => runnerId === null)) {
-      return;
-    }
-    unit.apply('order');
-    unit.orderedAt = now;
-    unit.members.forEach((member, position) => {
-      const runnerId = runnerIds[position] ?? undefined;
-      if (runnerId === undefined) {
-        member.state = MemberState.over;
-        return;
-      }
-      const runner = this.state.runners.get(runnerId) ?? this.addMissingRunner(unit, runnerId);
-      placeMember(unit, member, runner);
-      member.settledAt = now;
-      this.noteLease(runnerId, now);
-    });
-    if (unit.members.some((member) => member.state === MemberState.over)) {
-      this.lifecycle.abort(unit, 'a member had ended before the takeover', now);
-    }
-  }
-
-  private addMissingRunner(unit: Unit, id: string): Runner {
-    const runner = new Runner({
-      id,
-      address: '',
-      service: unit.job.queue.service,
-      dataCentre: '',
-      rack: '',
-      labels: [],
-      capacity: { cpu: 0, memoryMb: 0, accelerators: 0 },
-      isDraining: false,
-      bornAt: 0,
-    });
-    runner.isListed = false;
-    this.state.runners.set(id, runner);
-    return runner;
-  }
-
   private checkRunner(runner: Runner, now: number): void {
     if (runner.occupants.size > 0 && runner.leaseEnd > 0 && now > runner.leaseEnd) {
       this.state.log.decide('runnerLapsed', {
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -1,3 +1,4 @@
+import type { DispatchBounds } from './DispatchState.js';
 import type { Resources } from './Resources.js';
 import { add, clampToZero, noResources, subtract } from './Resources.js';
 import type { Member, Unit } from './Unit.js';
@@ -139,6 +140,17 @@
   }
 }
 
+/** Steady clocks of runners may run slow by this factor, as the platform's pages state. */
+const slowClockFactor = 1.02;
+/** Milliseconds added to a lease before it counts as over, for late timers of the runner. */
+const leaseSlackMs = 150;
+
+/** A call that extends the leases on the runner, or starts something there, leaves now. */
+export function extendLease(runner: Runner, bounds: DispatchBounds, now: number): void {
+  const lastsMs = bounds.maxLeaseMs * slowClockFactor + leaseSlackMs;
+  runner.leaseEnd = Math.max(runner.leaseEnd, now + lastsMs);
+}
+
 export function occupantKey(task: string, run: number): string {
   return `${task}#${run}`;
 }
--- a/packages/dispatch/src/VictimSearch.ts
+++ b/packages/dispatch/src/VictimSearch.ts
@@ -1,3 +1,5 @@
+import { msPerSecond } from '@apricothoist/common';
+
 import type { Placement, RoomLedger, RunnerRoom } from './RoomLedger.js';
 import { countPlaces, isEligible } from './RoomLedger.js';
 import type { Resources } from './Resources.js';
@@ -25,7 +27,6 @@
   readonly cost: number;
 }
 
-const msPerSecond = 1_000;
 /** Core-seconds that stopping a unit costs besides its unsaved work, per core: its restart. */
 const restartSeconds = 0.5;
 
--- a/packages/dispatch/src/admission.test.ts
+++ b/packages/dispatch/src/admission.test.ts
@@ -1,4 +1,4 @@
-import { replayQueues } from '@apricothoist/testing';
+import { createSpecification, plainStep, replayQueues } from '@apricothoist/testing';
 import test from 'ava';
 
 import type { QueueOutlook } from './Admission.js';
@@ -9,30 +9,8 @@
 const outlook: QueueOutlook = { pending: 0, backlogMs: 0, durationMs: 2_500, largestRunner: 8 };
 
 function specification(accelerators: number): JobSpecification {
-  return {
-    id: '0000000000000001',
-    queue: 'urgent',
-    account: 'anna',
-    service: 'service',
-    payload: '',
-    steps: [
-      {
-        count: 1,
-        size: { cpu: 1, memoryMb: 1, accelerators },
-        declaredMs: 0,
-        after: [],
-        isGang: false,
-        prefersOneRack: false,
-        savesProgress: false,
-        isLasting: false,
-        usesLeftover: false,
-      },
-    ],
-    occurrences: 1,
-    intervalMs: 0,
-    firstDueAt: 0,
-    acceptedAt: 0,
-  };
+  const size = { ...plainStep.size, accelerators };
+  return createSpecification('0000000000000001', [{ ...plainStep, size }]);
 }
 
 test('a job that can still be of use is accepted', (t) => {
--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -1,123 +1,20 @@
-import { replayQueues, ReplayWorld } from '@apricothoist/testing';
+import {
+  DispatchScene,
+  endedTask,
+  listedRunner,
+  ReplayWorld,
+  runningTask,
+  sceneJob,
+  sceneQueue,
+  sceneStep,
+} from '@apricothoist/testing';
 import test from 'ava';
 
-import { Dispatcher } from './Dispatcher.js';
-import type { Orders } from './Dispatcher.js';
-import type { Queue, Step } from './Job.js';
-import type { ProgressRecord } from './ProgressRecord.js';
-import { recordProgress } from './ProgressRecord.js';
-import type { EndedTask, RunningTask } from './ReportReader.js';
-import type { ListedRunner } from './Runner.js';
+import type { EndedTask } from './ReportReader.js';
 import { RunEnd, StartOutcome } from './UnitLifecycle.js';
 
-const bounds = { stopMs: 900, reclaimMs: 3_400, maxLeaseMs: 6_000, farSlowdown: 3 };
-const queue = replayQueues.urgent as Queue;
-const id = '00000000000000aa';
-const step: Step = {
-  count: 2,
-  size: { cpu: 1_000, memoryMb: 1_000, accelerators: 8 },
-  declaredMs: 2_000,
-  after: [],
-  isGang: true,
-  prefersOneRack: false,
-  savesProgress: true,
-  isLasting: false,
-  usesLeftover: false,
-};
-
-function listed(runnerId: string, change: Partial<ListedRunner> = {}): ListedRunner {
-  return {
-    id: runnerId,
-    address: runnerId,
-    service: 'service',
-    dataCentre: 'a',
-    rack: 'rack',
-    labels: ['kind', 'rack'],
-    capacity: { cpu: 32_000, memoryMb: 131_072, accelerators: 8 },
-    isDraining: false,
-    bornAt: 1,
-    ...change,
-  };
-}
-
-/** A dispatcher with two runners of eight accelerators and one gang that needs both. */
-class Scene {
-  public readonly dispatcher = new Dispatcher(bounds, { decide: () => undefined });
-
-  public now = 1_000;
-
-  public constructor(
-    steps: readonly Step[] = [step],
-    stored?: { progress: ProgressRecord; version: number },
-    runnerIds: readonly string[] = ['r1', 'r2'],
-  ) {
-    this.dispatcher.configure(new Map([[queue.name, queue]]), new Map());
-    this.dispatcher.listRunners(
-      runnerIds.map((runnerId) => listed(runnerId)),
-      this.now,
-    );
-    const specification = {
-      id,
-      queue: queue.name,
-      account: 'anna',
-      service: 'service',
-      payload: 'payload',
-      steps,
-      occurrences: 1,
-      intervalMs: 0,
-      firstDueAt: 0,
-      acceptedAt: 0,
-    };
-    this.dispatcher.addJob(specification, queue, this.now, this.now, stored);
-  }
-
-  public report(
-    runnerId: string,
-    running: readonly RunningTask[] = [],
-    ended: readonly EndedTask[] = [],
-    bornAt = 1,
-  ): void {
-    const report = { bornAt, askedAt: this.now, running, ended };
-    this.now += 1;
-    this.dispatcher.readReport(runnerId, report, this.now);
-  }
-
-  public step(passedMs = 10): Orders {
-    this.now += passedMs;
-    return this.dispatcher.step(this.now, this.now);
-  }
-
-  public answer(orders: Orders, outcome: StartOutcome): void {
-    orders.starts.forEach(({ runnerId, task, run }) => {
-      this.dispatcher.noteLease(runnerId, this.now);
-      this.dispatcher.answerStart(runnerId, task, run, outcome, this.now);
-    });
-  }
-
-  /** Both members of the gang run, the first run unless told. */
-  public start(): Orders {
-    this.report('r1');
-    this.report('r2');
-    const orders = this.step();
-    this.answer(orders, StartOutcome.started);
-    return orders;
-  }
-
-  public get state(): string {
-    return this.dispatcher.state.jobs.get(id)?.state ?? 'unknown';
-  }
-}
-
-function runningTask(index: number, run = 1): RunningTask {
-  return { task: `${id}.0.0.${index}`, run, saved: '', percent: 10 };
-}
-
-function endedTask(number: number, index: number, end: RunEnd, saved = ''): EndedTask {
-  return { number, task: `${id}.0.0.${index}`, run: 1, end, saved };
-}
-
 test('nothing starts on a runner that has not accepted the token of this scheduler', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   t.is(scene.step().starts.length, 0);
   scene.report('r1');
   t.is(scene.step().starts.length, 0);
@@ -126,7 +23,7 @@
 });
 
 test('one done of a gang is the whole gang’s, and stands', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.start();
   scene.report('r1', [], [endedTask(1, 0, RunEnd.done)]);
   t.is(scene.state, 'completed');
@@ -136,7 +33,7 @@
 });
 
 test('a start without an answer is stopped for certain before another run', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.report('r1');
   scene.report('r2');
   const [first, second] = scene.step().starts;
@@ -162,8 +59,8 @@
 });
 
 test('failures of a gang count once a run, and end the job at the limit of its queue', (t) => {
-  const scene = new Scene();
-  for (let run = 1; run <= queue.maxAttempts; run += 1) {
+  const scene = new DispatchScene();
+  for (let run = 1; run <= sceneQueue.maxAttempts; run += 1) {
     scene.report('r1');
     scene.report('r2');
     const orders = scene.step(30_000);
@@ -179,13 +76,13 @@
     scene.report('r1', [], [task(0, RunEnd.failed)]);
     t.is(scene.state, 'running');
     scene.report('r2', [], [task(1, RunEnd.failed)]);
-    t.is(scene.state, run === queue.maxAttempts ? 'failed' : 'running');
+    t.is(scene.state, run === sceneQueue.maxAttempts ? 'failed' : 'running');
   }
   t.is(scene.step(60_000).starts.length, 0);
 });
 
 test('a silent runner keeps its tasks until its lease is over for certain', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.start();
   scene.dispatcher.noteSilence('r1');
   scene.report('r2', [runningTask(1)]);
@@ -196,7 +93,7 @@
 });
 
 test('a runner in a new life runs nothing of the former one', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.start();
   scene.now += 10;
   scene.report('r1', [], [], 2);
@@ -208,7 +105,7 @@
 });
 
 test('a task that was started in the new life of its runner goes on', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.start();
   scene.now += 10;
   scene.report('r1', [runningTask(0)], [], 2);
@@ -218,9 +115,12 @@
 });
 
 test('an entry of a new life does not end what was started in that life', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.start();
-  scene.dispatcher.listRunners([listed('r1', { bornAt: 2 }), listed('r2')], scene.now + 1);
+  scene.dispatcher.listRunners(
+    [listedRunner('r1', { bornAt: 2 }), listedRunner('r2')],
+    scene.now + 1,
+  );
   t.deepEqual(scene.step(), { starts: [], stops: [] });
   scene.now += 10;
   scene.report('r1', [runningTask(0)], [], 2);
@@ -228,7 +128,7 @@
 });
 
 test('a run that its runner does not list any more is over', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.start();
   scene.now += 10;
   scene.report('r1');
@@ -239,7 +139,7 @@
 });
 
 test('a report asked for before the start does not end the run', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.report('r1');
   scene.report('r2');
   const askedAt = scene.now;
@@ -251,9 +151,9 @@
 });
 
 test('a cancelled job is stopped and does not start again', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.start();
-  scene.dispatcher.cancelJob(id, scene.now);
+  scene.dispatcher.cancelJob(sceneJob, scene.now);
   t.is(scene.state, 'cancelled');
   t.is(scene.step().stops.length, 2);
   scene.report('r1', [], [endedTask(1, 0, RunEnd.stopped)]);
@@ -262,71 +162,26 @@
 });
 
 test('an unknown run on a runner is stopped', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.report('r1', [{ task: 'ffffffffffffffff.0.0.0', run: 3, saved: '', percent: 1 }]);
   t.deepEqual(scene.step().stops, [{ runnerId: 'r1', task: 'ffffffffffffffff.0.0.0', run: 3 }]);
 });
 
-test('after a takeover a gang that still runs goes on', (t) => {
-  const before = new Scene();
-  before.start();
-  const job = before.dispatcher.state.jobs.get(id);
-  const progress = recordProgress(job as NonNullable<typeof job>);
-  const after = new Scene([step], { progress, version: 7 });
-  t.is(after.step().starts.length, 0);
-  after.report('r1', [runningTask(0)]);
-  after.report('r2', [runningTask(1)]);
-  t.deepEqual(after.step(), { starts: [], stops: [] });
-  after.report('r2', [], [endedTask(1, 1, RunEnd.done)]);
-  t.is(after.state, 'completed');
-});
-
-test('after a takeover a run that is gone is started again with a higher number', (t) => {
-  const before = new Scene();
-  before.start();
-  const job = before.dispatcher.state.jobs.get(id);
-  const progress = recordProgress(job as NonNullable<typeof job>);
-  const after = new Scene([step], { progress, version: 7 });
-  after.now += 5;
-  after.report('r1');
-  after.report('r2');
-  const { starts } = after.step();
-  t.deepEqual(
-    starts.map(({ run }) => run),
-    [2, 2],
-  );
-});
-
-test('after a takeover the lease of an unlisted runner is waited out', (t) => {
-  const before = new Scene();
-  before.start();
-  const job = before.dispatcher.state.jobs.get(id);
-  const progress = recordProgress(job as NonNullable<typeof job>);
-  const after = new Scene([step], { progress, version: 7 }, ['r2', 'r3']);
-  after.now += 5;
-  after.report('r2');
-  after.report('r3');
-  t.is(after.step(5_000).starts.length, 0);
-  after.report('r2');
-  after.report('r3');
-  t.is(after.step(1_500).starts.length, 2);
-});
-
 test('an entry that is missing for less than the grace of the registry changes nothing', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.start();
-  scene.dispatcher.listRunners([listed('r2')], scene.now);
-  scene.dispatcher.listRunners([listed('r2')], scene.now + 1_900);
+  scene.dispatcher.listRunners([listedRunner('r2')], scene.now);
+  scene.dispatcher.listRunners([listedRunner('r2')], scene.now + 1_900);
   t.true(scene.dispatcher.state.runners.get('r1')?.isListed);
-  scene.dispatcher.listRunners([listed('r2')], scene.now + 2_100);
+  scene.dispatcher.listRunners([listedRunner('r2')], scene.now + 2_100);
   t.false(scene.dispatcher.state.runners.get('r1')?.isListed);
 });
 
 test('nothing starts on a draining runner, and progress is saved before it leaves', (t) => {
-  const scene = new Scene([{ ...step, declaredMs: 9_000 }]);
+  const scene = new DispatchScene([{ ...sceneStep, declaredMs: 9_000 }]);
   scene.start();
-  const draining = listed('r1', { isDraining: true, staysForMs: 2_000 });
-  scene.dispatcher.listRunners([draining, listed('r2')], scene.now);
+  const draining = listedRunner('r1', { isDraining: true, staysForMs: 2_000 });
+  scene.dispatcher.listRunners([draining, listedRunner('r2')], scene.now);
   scene.report('r1', [runningTask(0)]);
   scene.report('r2', [runningTask(1)]);
   t.is(scene.step(100).stops.length, 0);
@@ -337,7 +192,12 @@
 
 test('a runner that fails jobs at once is held back', (t) => {
   const world = new ReplayWorld(1, 1);
-  const single = { ...step, count: 1, isGang: false, size: { ...step.size, accelerators: 1 } };
+  const single = {
+    ...sceneStep,
+    count: 1,
+    isGang: false,
+    size: { ...sceneStep.size, accelerators: 1 },
+  };
   world.submit({ queue: 'urgent', steps: [single], durationMs: 4_000 });
   world.play(1_100);
   const [task] = world.tasksOn('runner-0-0');
@@ -353,7 +213,7 @@
 });
 
 test('a task without progress is moved, and its runner held back', (t) => {
-  const scene = new Scene();
+  const scene = new DispatchScene();
   scene.start();
   for (let round = 0; round < 9; round += 1) {
     scene.now += 400;
@@ -367,8 +227,8 @@
 });
 
 test('a lasting task is started again however it ends', (t) => {
-  const lasting = { ...step, count: 1, isGang: false, isLasting: true };
-  const scene = new Scene([lasting]);
+  const lasting = { ...sceneStep, count: 1, isGang: false, isLasting: true };
+  const scene = new DispatchScene([lasting]);
   scene.start();
   scene.report('r1', [], [endedTask(1, 0, RunEnd.done)]);
   scene.report('r2');
--- /dev/null
+++ b/packages/dispatch/src/takeover.test.ts
@@ -0,0 +1,50 @@
+import { DispatchScene, endedTask, runningTask, sceneJob, sceneStep } from '@apricothoist/testing';
+import test from 'ava';
+
+import { recordProgress } from './ProgressRecord.js';
+import { RunEnd } from './UnitLifecycle.js';
+
+test('after a takeover a gang that still runs goes on', (t) => {
+  const before = new DispatchScene();
+  before.start();
+  const job = before.dispatcher.state.jobs.get(sceneJob);
+  const progress = recordProgress(job as NonNullable<typeof job>);
+  const after = new DispatchScene([sceneStep], { progress, version: 7 });
+  t.is(after.step().starts.length, 0);
+  after.report('r1', [runningTask(0)]);
+  after.report('r2', [runningTask(1)]);
+  t.deepEqual(after.step(), { starts: [], stops: [] });
+  after.report('r2', [], [endedTask(1, 1, RunEnd.done)]);
+  t.is(after.state, 'completed');
+});
+
+test('after a takeover a run that is gone is started again with a higher number', (t) => {
+  const before = new DispatchScene();
+  before.start();
+  const job = before.dispatcher.state.jobs.get(sceneJob);
+  const progress = recordProgress(job as NonNullable<typeof job>);
+  const after = new DispatchScene([sceneStep], { progress, version: 7 });
+  after.now += 5;
+  after.report('r1');
+  after.report('r2');
+  const { starts } = after.step();
+  t.deepEqual(
+    starts.map(({ run }) => run),
+    [2, 2],
+  );
+});
+
+test('after a takeover the lease of an unlisted runner is waited out', (t) => {
+  const before = new DispatchScene();
+  before.start();
+  const job = before.dispatcher.state.jobs.get(sceneJob);
+  const progress = recordProgress(job as NonNullable<typeof job>);
+  const after = new DispatchScene([sceneStep], { progress, version: 7 }, ['r2', 'r3']);
+  after.now += 5;
+  after.report('r2');
+  after.report('r3');
+  t.is(after.step(5_000).starts.length, 0);
+  after.report('r2');
+  after.report('r3');
+  t.is(after.step(1_500).starts.length, 2);
+});
--- a/packages/instance/src/ConfigurationFollower.ts
+++ b/packages/instance/src/ConfigurationFollower.ts
@@ -1,18 +1,16 @@
 import type { Clock, Event, Random } from '@apricothoist/common';
-import { delay, Emitter } from '@apricothoist/common';
+import { Emitter, messageOf } from '@apricothoist/common';
 import type { Result } from 'neverthrow';
 
 import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
-import { CoordinationErrorKind } from './CoordinationStore.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
+import { PrefixFollower } from './PrefixFollower.js';
 
-/** Milliseconds that a watch waits; a silent connection is noticed soon after. */
+/**
+ * Milliseconds that a watch waits: with the answer well below two seconds, in which a change has to
+ * be in force; and longer than the second for which a watch may miss changes.
+ */
 const watchMs = 1_200;
-/** Milliseconds beyond the wait for the answer itself. */
-const answerMs = 700;
-const retryMs = 150;
-const retrySpread = 0.5;
-/** Watches between two full reads, in case a watch misses a change. */
 const watchesPerRead = 8;
 
 /** Keeps the operators' configuration, and knows how old the knowledge is. */
@@ -25,29 +23,35 @@
 
   public readonly onUnreadable: Event<string> = this.unreadable.event;
 
-  private readonly answered = new Emitter<CoordinationError | undefined>();
+  private readonly follower: PrefixFollower;
 
   /** Fires after each call with its error, if any. */
-  public readonly onAnswer: Event<CoordinationError | undefined> = this.answered.event;
+  public readonly onAnswer: Event<CoordinationError | undefined>;
 
   private configuration: OperatorConfiguration | undefined;
 
   /** Monotonic milliseconds: every change acknowledged before is known. */
   private confirmedAt = -Infinity;
 
-  private isStopped = false;
-
   /**
    * @param key where the operators keep it
    * @param decode reads the value
    */
   public constructor(
-    private readonly store: CoordinationStore,
+    store: CoordinationStore,
     private readonly clock: Clock,
-    private readonly random: Random,
+    random: Random,
     private readonly key: string,
     private readonly decode: (value: string) => Result<OperatorConfiguration, Error>,
-  ) {}
+  ) {
+    const pace = { watchMs, watchesPerRead };
+    this.follower = new PrefixFollower(store, clock, random, key, pace);
+    this.onAnswer = this.follower.onAnswer;
+    this.follower.onItems(({ items, askedAt }) => {
+      this.adopt(items);
+      this.confirm(askedAt);
+    });
+  }
 
   public get current(): OperatorConfiguration | undefined {
     return this.configuration;
@@ -59,54 +63,11 @@
   }
 
   public start(): void {
-    this.follow().catch((error: unknown) => {
-      this.unreadable.fire(`configuration is not followed any more: ${String(error)}`);
+    this.follower.start((error) => {
+      this.unreadable.fire(`the configuration is not followed any more: ${messageOf(error)}`);
     });
   }
 
-  private async follow(): Promise<void> {
-    let revision: number | undefined;
-    let watches = 0;
-    while (!this.isStopped) {
-      if (revision === undefined || watches >= watchesPerRead) {
-        revision = await this.readAll();
-        watches = 0;
-      } else {
-        revision = await this.watchAfter(revision);
-        watches += 1;
-      }
-      if (revision === undefined) {
-        await delay(this.random.jitter(retryMs, retrySpread));
-      }
-    }
-  }
-
-  private async readAll(): Promise<number | undefined> {
-    const askedAt = this.clock.monotonic();
-    const listed = await this.store.list(this.key, askedAt + answerMs);
-    this.answered.fire(listed.isErr() ? listed.error : undefined);
-    if (listed.isErr()) {
-      return undefined;
-    }
-    this.adopt(listed.value.items);
-    this.confirm(askedAt);
-    return listed.value.revision;
-  }
-
-  private async watchAfter(revision: number): Promise<number | undefined> {
-    const askedAt = this.clock.monotonic();
-    const deadline = askedAt + watchMs + answerMs;
-    const changes = await this.store.watch(this.key, revision, watchMs, deadline);
-    const isLost = changes.isErr() && changes.error.kind === CoordinationErrorKind.compacted;
-    this.answered.fire(changes.isErr() && !isLost ? changes.error : undefined);
-    if (changes.isErr()) {
-      return undefined;
-    }
-    this.adopt(changes.value.items);
-    this.confirm(askedAt);
-    return changes.value.revision;
-  }
-
   private confirm(askedAt: number): void {
     if (this.configuration !== undefined) {
       this.confirmedAt = Math.max(this.confirmedAt, askedAt);
@@ -132,9 +93,8 @@
   }
 
   public [Symbol.dispose](): void {
-    this.isStopped = true;
+    this.follower[Symbol.dispose]();
     this.adopted[Symbol.dispose]();
     this.unreadable[Symbol.dispose]();
-    this.answered[Symbol.dispose]();
   }
 }
--- a/packages/instance/src/Election.ts
+++ b/packages/instance/src/Election.ts
@@ -6,6 +6,7 @@
 import { StoreKeys } from './keys.js';
 import type { HolderRecord } from './StoredJob.js';
 import { parseRecord } from './StoredJob.js';
+import { StorePace } from './StorePace.js';
 
 /** Lifetime of the lease in milliseconds: well below that of a task, so a successor can renew it. */
 const leaseMs = 2_200;
@@ -13,12 +14,8 @@
 const renewEveryMs = 500;
 /** Milliseconds before the end of the lease at which the holder stops relying on it. */
 const safetyMs = 250;
-/** Milliseconds that one call may take. */
-const callMs = 700;
 /** Milliseconds between looks at the key while another instance holds it. */
 const lookEveryMs = 400;
-const retryMs = 150;
-const retrySpread = 0.5;
 
 /** Right to schedule, for a while. */
 export interface Tenure {
@@ -110,7 +107,7 @@
 
   private async renew(): Promise<void> {
     const askedAt = this.clock.monotonic();
-    const renewed = await this.store.renewLease(this.lease, askedAt + callMs);
+    const renewed = await this.store.renewLease(this.lease, askedAt + StorePace.callMs);
     if (renewed.isOk() && this.tenure !== undefined) {
       this.heldUntil = Math.max(this.heldUntil, askedAt + leaseMs - safetyMs);
     } else if (renewed.isErr() && renewed.error.kind === CoordinationErrorKind.leaseEnded) {
@@ -120,7 +117,9 @@
     // Past its time the lease is in doubt: nothing is ordered, but a renewal that succeeds shows that
     // it never ended, and that nobody has taken over.
     this.setDoubt(this.clock.monotonic() >= this.heldUntil);
-    await delay(renewed.isOk() ? renewEveryMs : this.random.jitter(retryMs, retrySpread));
+    await delay(
+      renewed.isOk() ? renewEveryMs : this.random.jitter(StorePace.retryMs, StorePace.retrySpread),
+    );
   }
 
   private setDoubt(isInDoubt: boolean): void {
@@ -131,9 +130,12 @@
   }
 
   private async look(): Promise<void> {
-    const found = await this.store.read(StoreKeys.holder, this.clock.monotonic() + callMs);
+    const found = await this.store.read(
+      StoreKeys.holder,
+      this.clock.monotonic() + StorePace.callMs,
+    );
     if (found.isErr()) {
-      await delay(this.random.jitter(retryMs * 2, retrySpread));
+      await delay(this.random.jitter(StorePace.retryMs * 2, StorePace.retrySpread));
       return;
     }
     const item = found.value;
@@ -142,10 +144,10 @@
       if (holder.instance !== this.self.instance) {
         this.located.fire({ ...holder, token: item.revision });
       }
-      await delay(this.random.jitter(lookEveryMs / 2, retrySpread));
+      await delay(this.random.jitter(lookEveryMs / 2, StorePace.retrySpread));
       return;
     }
-    await delay(this.random.fraction() * retryMs + this.handicapMs);
+    await delay(this.random.fraction() * StorePace.retryMs + this.handicapMs);
     if (!this.isStopped) {
       await this.acquire();
     }
@@ -153,9 +155,9 @@
 
   private async acquire(): Promise<void> {
     const askedAt = this.clock.monotonic();
-    const lease = await this.store.grantLease(leaseMs, askedAt + callMs);
+    const lease = await this.store.grantLease(leaseMs, askedAt + StorePace.callMs);
     if (lease.isErr()) {
-      await delay(this.random.jitter(retryMs, retrySpread));
+      await delay(this.random.jitter(StorePace.retryMs, StorePace.retrySpread));
       return;
     }
     const write = {
@@ -166,14 +168,14 @@
     const expect = [{ key: StoreKeys.holder, revision: absentRevision }];
     const committed = await this.store.commit(
       { expect, writes: [write] },
-      this.clock.monotonic() + callMs,
+      this.clock.monotonic() + StorePace.callMs,
     );
     const isWon = committed.isOk() && committed.value.isCommitted;
     const isLate = this.clock.monotonic() >= askedAt + leaseMs - safetyMs;
     if (!isWon || isLate || this.isStopped) {
       // A write whose answer was lost may have made this instance the holder: the end of the lease
       // frees the key in any case.
-      await this.store.endLease(lease.value, this.clock.monotonic() + callMs);
+      await this.store.endLease(lease.value, this.clock.monotonic() + StorePace.callMs);
       return;
     }
     this.lease = lease.value;
@@ -188,7 +190,7 @@
     const wasHolder = this.tenure !== undefined;
     this.resign('instance stops');
     if (wasHolder) {
-      await this.store.endLease(this.lease, this.clock.monotonic() + callMs);
+      await this.store.endLease(this.lease, this.clock.monotonic() + StorePace.callMs);
     }
     this.gained[Symbol.dispose]();
     this.lost[Symbol.dispose]();
--- a/packages/instance/src/FeedClient.ts
+++ b/packages/instance/src/FeedClient.ts
@@ -10,6 +10,7 @@
 const connectMs = 1_000;
 /** Milliseconds without news after which the connection is given up; news come every half second. */
 const silentMs = 1_500;
+/** Milliseconds between two looks at the silence: a fraction of it. */
 const checkEveryMs = 250;
 
 /** Follows the scheduling instance. One connection at a time; the election says where to. */
--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -8,8 +8,10 @@
 import { absentRevision, CoordinationErrorKind } from './CoordinationStore.js';
 import type { JobBoard } from './JobBoard.js';
 import { StoreKeys } from './keys.js';
+import { RecentSet } from './RecentSet.js';
 import type { StoredJob } from './StoredJob.js';
 import { parseRecord } from './StoredJob.js';
+import { StorePace } from './StorePace.js';
 
 export const SubmitOutcome = {
   accepted: 'accepted',
@@ -37,16 +39,20 @@
   readonly source: string;
 }
 
-/** Milliseconds that one call may take, so that there is time for a second one. */
-const callMs = 700;
 /** Pauses in milliseconds between calls of the store for one request; they double. */
 const firstPauseMs = 20;
 const maxPauseMs = 300;
 /** Retry-After in milliseconds while the store refuses or does not answer. */
 const storeRetryMs = 1_000;
 
+/** Submissions of unknown outcome that are remembered: some minutes of an outage at full load. */
+const maxUncertain = 1_000;
+
 /** Accepts jobs, tells their state and cancels them, on every instance. */
 export class JobService {
+  /** Jobs that an earlier attempt here may have stored: a refusal of them could be untrue. */
+  private readonly uncertain = new RecentSet(maxUncertain);
+
   public constructor(
     private readonly store: CoordinationStore,
     private readonly board: JobBoard,
@@ -69,9 +75,10 @@
       return { outcome: SubmitOutcome.accepted, reason: 'already known' };
     }
     if (this.isStoreLost()) {
-      // Without a call it is certain that nothing is stored.
       const reason = 'the store is known not to answer';
-      return { outcome: SubmitOutcome.refused, reason, retryAfterMs: storeRetryMs };
+      return this.uncertain.has(specification.id)
+        ? { outcome: SubmitOutcome.unknown, reason }
+        : { outcome: SubmitOutcome.refused, reason, retryAfterMs: storeRetryMs };
     }
     const outlook = this.board.isFresh ? this.board.outlookOf(queue.name) : undefined;
     const admission = decideAdmission(specification, queue, outlook);
@@ -84,7 +91,7 @@
       expect: [{ key, revision: absentRevision }],
       writes: [{ key, value: JSON.stringify(stored) }],
     };
-    let mayBeStored = false;
+    let mayBeStored = this.uncertain.has(specification.id);
     for (let call = 0; this.clock.monotonic() < deadline; call += 1) {
       const result = await this.store.commit(transaction, this.limit(deadline));
       if (result.isOk()) {
@@ -102,6 +109,7 @@
       // may have run again by themselves.
       await this.pause(call, deadline);
     }
+    this.uncertain.add(specification.id);
     return { outcome: SubmitOutcome.unknown, reason: 'store does not answer' };
   }
 
@@ -174,7 +182,7 @@
   }
 
   private limit(deadline: number): number {
-    return Math.min(deadline, this.clock.monotonic() + callMs);
+    return Math.min(deadline, this.clock.monotonic() + StorePace.callMs);
   }
 }
 
--- a/packages/instance/src/ProgressWriter.ts
+++ b/packages/instance/src/ProgressWriter.ts
@@ -10,11 +10,13 @@
   Transaction,
 } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
+import { StorePace } from './StorePace.js';
 
+/** Milliseconds for a write of up to 15 jobs; longer than other calls, as it is repeated whole. */
 const callMs = 1_200;
+/** First and longest pause in milliseconds before a write is repeated: starts wait for it. */
 const retryMs = 60;
 const maxRetryMs = 800;
-const retrySpread = 0.5;
 /** Entries of a transaction for the holder's key. */
 const holderEntries = 1;
 /** Entries of a transaction for each job: what is expected, and what is written. */
@@ -82,7 +84,7 @@
       } else {
         this.onFailure(result.error, jobs.length);
       }
-      await delay(this.random.jitter(pauseMs, retrySpread));
+      await delay(this.random.jitter(pauseMs, StorePace.retrySpread));
       pauseMs = Math.min(maxRetryMs, Math.max(retryMs, pauseMs * 2));
     }
     return false;
--- a/packages/instance/src/RunnerClient.ts
+++ b/packages/instance/src/RunnerClient.ts
@@ -1,6 +1,11 @@
-import type { ListedRunner, RunnerReport, StartOrder, StopOrder } from '@apricothoist/dispatch';
-import { StartOutcome } from '@apricothoist/dispatch';
 import { LayerError } from '@apricothoist/common';
+import type {
+  ListedRunner,
+  RunnerReport,
+  StartOrder,
+  StartOutcome,
+  StopOrder,
+} from '@apricothoist/dispatch';
 import type { Result } from 'neverthrow';
 
 export const RunnerErrorKind = {
@@ -47,5 +52,3 @@
     deadline: number,
   ): Promise<Result<RunnerReport, RunnerError>>;
 }
-
-export { StartOutcome };
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -14,8 +14,10 @@
 const storeWaitMs = 500;
 /** Milliseconds beyond the wait for the answer itself. */
 const answerMs = 600;
+/** First and longest pause in milliseconds after an unanswered call, within a lease of seconds. */
 const firstRetryMs = 100;
 const maxRetryMs = 1_000;
+/** Share by which a pause varies, so that runners are not called in step. */
 const retrySpread = 0.3;
 
 /** What a link needs of the scheduling instance. */
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -1,29 +1,23 @@
 import type { Clock, Random } from '@apricothoist/common';
 import { delay, messageOf } from '@apricothoist/common';
-import type {
-  DispatchBounds,
-  JobRun,
-  ListedRunner,
-  ProgressRecord,
-  Runner,
-} from '@apricothoist/dispatch';
+import type { DispatchBounds, JobRun, ListedRunner, Runner } from '@apricothoist/dispatch';
 import { Dispatcher } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
 import type { Result } from 'neverthrow';
 
-import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
+import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
 import type { BoardUpdate } from './JobBoard.js';
-import { JobWatch } from './JobWatch.js';
-import { parseJobKey, StoreKeys } from './keys.js';
+import { JobIntake } from './JobIntake.js';
+import { StoreKeys } from './keys.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
 import { OrderSender } from './OrderSender.js';
+import { PrefixFollower } from './PrefixFollower.js';
 import { ProgressWriter } from './ProgressWriter.js';
 import type { RunnerClient } from './RunnerClient.js';
 import type { LinkOwner } from './RunnerLink.js';
 import { RunnerLink } from './RunnerLink.js';
-import type { StoredJob } from './StoredJob.js';
-import { parseRecord } from './StoredJob.js';
+import { StorePace } from './StorePace.js';
 
 /** Milliseconds between two steps when nothing happens. */
 const idleStepMs = 100;
@@ -31,8 +25,12 @@
 const collectMs = 4;
 /** Milliseconds between two readings of the registry; drains must be seen within two seconds. */
 const listEveryMs = 700;
-const callMs = 800;
+/** Milliseconds that a watch of the accepted jobs waits; a silent one is noticed soon after. */
+const watchMs = 1_500;
+/** Milliseconds for reading all that is stored at a takeover: pages of up to a megabyte each. */
 const takeoverCallMs = 2_000;
+/** Milliseconds before a takeover is tried again. */
+const takeoverRetryMs = 100;
 /** Milliseconds between news without a change. */
 const newsEveryMs = 500;
 /** The registry of runners. */
@@ -67,12 +65,14 @@
 
   private readonly storedEnds = new Map<string, { bornAt: number; end: number }>();
 
-  private readonly watch: JobWatch;
+  private readonly watch: PrefixFollower;
 
   private readonly writer: ProgressWriter;
 
   private readonly sender: OrderSender;
 
+  private readonly intake: JobIntake;
+
   private isStopped = false;
 
   private isWoken = false;
@@ -101,7 +101,13 @@
     this.sender = new OrderSender(this.dispatcher, runners, clock, this, (error) =>
       this.fail(error),
     );
-    this.watch = new JobWatch(store, clock, random, (items) => this.takeItems(items));
+    this.intake = new JobIntake(this.dispatcher, clock, log);
+    const pace = { watchMs, watchesPerRead: Infinity };
+    this.watch = new PrefixFollower(store, clock, random, StoreKeys.jobPrefix, pace);
+    this.watch.onItems(({ items }) => {
+      this.intake.takeItems(items);
+      this.wake();
+    });
     this.writer = new ProgressWriter(
       store,
       clock,
@@ -204,8 +210,8 @@
       if (runners.isOk() && jobs.isOk() && progress.isOk()) {
         this.dispatcher.listRunners(runners.value, this.now);
         this.listedAt = this.now;
-        this.takeStored(jobs.value.items, progress.value.items);
-        this.watch.start(jobs.value.revision, (error) => this.fail(error));
+        this.intake.takeStored(jobs.value.items, progress.value.items);
+        this.watch.start((error) => this.fail(error), jobs.value.revision);
         this.updateLinks();
         log.emit(JobEvents.takeoverRead, {
           token: this.tenureToken,
@@ -216,60 +222,11 @@
         this.publish(true, [...this.dispatcher.state.jobs.values()]);
         return true;
       }
-      await delay(collectMs * 25);
+      await delay(takeoverRetryMs);
     }
     return false;
   }
 
-  private takeStored(jobs: readonly StoredItem[], progress: readonly StoredItem[]): void {
-    const records = new Map<string, { progress: ProgressRecord; version: number }>();
-    progress.forEach(({ key, value, revision }) => {
-      const record = parseRecord<ProgressRecord>(value);
-      if (record === undefined) {
-        this.services.log.emit(JobEvents.recordUnreadable, { key });
-        return;
-      }
-      const id = key.slice(StoreKeys.progressPrefix.length);
-      records.set(id, { progress: record, version: revision });
-    });
-    this.takeItems(jobs, records);
-  }
-
-  // Jobs before cancels: a cancel names a job that may stand later in the same list.
-  private takeItems(
-    items: readonly StoredItem[],
-    records?: ReadonlyMap<string, { progress: ProgressRecord; version: number }>,
-  ): void {
-    const cancels: string[] = [];
-    items.forEach(({ key, value }) => {
-      const { id, isCancel } = parseJobKey(key);
-      if (isCancel) {
-        cancels.push(id);
-      } else if (value !== undefined) {
-        this.takeJob(key, value, records?.get(id));
-      }
-    });
-    cancels.forEach((id) => this.dispatcher.cancelJob(id, this.now));
-    if (items.length > 0) {
-      this.wake();
-    }
-  }
-
-  private takeJob(
-    key: string,
-    value: string,
-    record: { progress: ProgressRecord; version: number } | undefined,
-  ): void {
-    const stored = parseRecord<StoredJob>(value);
-    if (stored === undefined) {
-      this.services.log.emit(JobEvents.recordUnreadable, { key });
-      return;
-    }
-    const { clock } = this.services;
-    const ageMs = Math.max(0, clock.wall() - stored.specification.acceptedAt);
-    this.dispatcher.addJob(stored.specification, stored.queue, this.now - ageMs, this.now, record);
-  }
-
   private async step(): Promise<void> {
     this.listIfDue();
     const orders = this.dispatcher.step(this.now, this.services.clock.wall());
@@ -319,7 +276,7 @@
     this.isListing = true;
     this.listedAt = this.now;
     this.services.registry
-      .list(this.now + callMs)
+      .list(this.now + StorePace.callMs)
       .then((runners) => {
         this.isListing = false;
         if (runners.isOk() && !this.isStopped) {
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -1,9 +1,10 @@
 import { readdirSync, readFileSync } from 'node:fs';
 
 import { delay, Random, SystemClock } from '@apricothoist/common';
-import type { JobSpecification, Queue } from '@apricothoist/dispatch';
+import type { Queue } from '@apricothoist/dispatch';
 import { JobState } from '@apricothoist/dispatch';
 import { EventLog, linesDropped, LogFormat, LogLevel } from '@apricothoist/telemetry';
+import { createSpecification, plainStep, replayBounds, replayQueues } from '@apricothoist/testing';
 import test from 'ava';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -19,43 +20,13 @@
 import { JobBoard } from './JobBoard.js';
 import { JobService, Lookup, SubmitOutcome } from './JobService.js';
 import { StoreKeys } from './keys.js';
+import { RecentSet } from './RecentSet.js';
 import type { RunnerClient } from './RunnerClient.js';
 import { Scheduling } from './Scheduling.js';
 import { SuspendClock } from './SuspendClock.js';
 
-const queue: Queue = {
-  name: 'queue',
-  service: 'service',
-  priority: 0,
-  maxAttempts: 2,
-  stretch: 2,
-  targetMs: 250,
-};
-const specification: JobSpecification = {
-  id: '00000000000000aa',
-  queue: 'queue',
-  account: 'anna',
-  service: 'service',
-  payload: '',
-  steps: [
-    {
-      count: 1,
-      size: { cpu: 1, memoryMb: 1, accelerators: 1 },
-      declaredMs: 100,
-      after: [],
-      isGang: false,
-      prefersOneRack: false,
-      savesProgress: false,
-      isLasting: false,
-      usesLeftover: false,
-    },
-  ],
-  occurrences: 1,
-  intervalMs: 0,
-  firstDueAt: 0,
-  acceptedAt: 0,
-};
-const bounds = { stopMs: 900, reclaimMs: 3_400, maxLeaseMs: 6_000, farSlowdown: 3 };
+const queue = replayQueues.urgent as Queue;
+const specification = createSpecification('00000000000000aa', [plainStep]);
 
 type Commit = Result<CommitResult, CoordinationError>;
 
@@ -120,7 +91,7 @@
       clock,
       random: new Random(1),
       log: new EventLog('test', LogLevel.error, LogFormat.json, clock),
-      bounds,
+      bounds: replayBounds,
       token: () => 7,
       resign: (reason) => resigned.push(reason),
       publish: () => {},
@@ -251,11 +222,36 @@
   t.is(store.commits, 0, 'only without a call it is certain');
 });
 
+test('a job that an earlier attempt may have stored is not refused', async (t) => {
+  const clock = new SystemClock();
+  let isLost = false;
+  const store = new ScriptedStore((call) => (call === 1 ? unanswered : refused));
+  const service = new JobService(store, new JobBoard(clock), clock, () => isLost);
+  const submit = async (): Promise<SubmitOutcome> =>
+    (await service.submit(specification, queue, clock.monotonic() + 60)).outcome;
+  t.is(await submit(), SubmitOutcome.unknown);
+  t.is(await submit(), SubmitOutcome.unknown);
+  isLost = true;
+  t.is(await submit(), SubmitOutcome.unknown);
+  const other = { ...specification, id: '00000000000000bb' };
+  const answer = await service.submit(other, queue, clock.monotonic() + 60);
+  t.is(answer.outcome, SubmitOutcome.refused);
+});
+
+test('the oldest members of a recent set are forgotten', (t) => {
+  const recent = new RecentSet(2);
+  ['a', 'b', 'a', 'c'].forEach((member) => recent.add(member));
+  t.deepEqual(
+    ['a', 'b', 'c'].map((member) => recent.has(member)),
+    [true, false, true],
+  );
+});
+
 test('a refusal for the backlog is not given for a job that is stored already', async (t) => {
   const clock = new SystemClock();
   const board = new JobBoard(clock);
   const outlook = { pending: 9, backlogMs: 90_000, durationMs: 1_000, largestRunner: 8 };
-  board.apply({ isWhole: true, states: [], forgotten: [], queues: [['queue', outlook]] });
+  board.apply({ isWhole: true, states: [], forgotten: [], queues: [[queue.name, outlook]] });
   const empty = new JobService(new ScriptedStore(() => committed), board, clock, isReached);
   const deadline = clock.monotonic() + 500;
   const answer = await empty.submit(specification, queue, deadline);
--- a/packages/telemetry/src/LineWriter.ts
+++ b/packages/telemetry/src/LineWriter.ts
@@ -2,6 +2,7 @@
 import type { WriteStream } from 'node:fs';
 
 import type { Clock } from '@apricothoist/common';
+import { msPerSecond } from '@apricothoist/common';
 
 /** Lines a second that are written for long; beyond it lines are dropped and counted. */
 const linesPerSecond = 300;
@@ -11,7 +12,6 @@
 const maxWaitingBytes = 262_144;
 /** Milliseconds for which lines are collected into one write. */
 const collectMs = 100;
-const msPerSecond = 1_000;
 
 /**
  * Writes lines to a file descriptor without ever waiting for its reader: the volume is bounded, and
--- a/packages/testing/src/ReplayWorld.ts
+++ b/packages/testing/src/ReplayWorld.ts
@@ -59,7 +59,8 @@
 const msPerSecond = 1_000;
 const coresPerAccelerator = 8;
 
-const plainStep: Step = {
+/** One small task that cannot be saved. */
+export const plainStep: Step = {
   count: 1,
   size: { cpu: 1_000, memoryMb: 1_000, accelerators: 1 },
   declaredMs: 1_000,
@@ -99,6 +100,22 @@
   },
 };
 
+/** A job of the urgent queue that is due at once. */
+export function createSpecification(id: string, steps: readonly Step[]): JobSpecification {
+  return {
+    id,
+    queue: 'urgent',
+    account: 'anna',
+    service: 'service',
+    payload: '',
+    steps,
+    occurrences: 1,
+    intervalMs: 0,
+    firstDueAt: 0,
+    acceptedAt: 0,
+  };
+}
+
 /** Replays a load against the dispatcher in virtual time, with runners that keep to their orders. */
 export class ReplayWorld {
   public readonly dispatcher: Dispatcher;
@@ -155,18 +172,8 @@
     const id = String(this.jobs.size + 1).padStart(16, '0');
     const queue = replayQueues[arrival.queue] as Queue;
     const steps = arrival.steps.map((step): Step => ({ ...plainStep, ...step }));
-    const specification: JobSpecification = {
-      id,
-      queue: queue.name,
-      account: arrival.account ?? 'anna',
-      service: 'service',
-      payload: '',
-      steps,
-      occurrences: 1,
-      intervalMs: 0,
-      firstDueAt: 0,
-      acceptedAt: 0,
-    };
+    const account = arrival.account ?? 'anna';
+    const specification = { ...createSpecification(id, steps), queue: queue.name, account };
     this.durations.set(id, arrival.durationMs);
     this.specifications.set(id, specification);
     this.dispatcher.addJob(specification, queue, this.now, this.now);
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -14,5 +14,21 @@
 export { canPlaceTogether } from './gangOracle.js';
 export type { OracleGang } from './gangOracle.js';
 export { RelayMode, TcpRelay } from './TcpRelay.js';
-export { generateLoad, replayBounds, replayQueues, ReplayWorld } from './ReplayWorld.js';
+export {
+  createSpecification,
+  generateLoad,
+  plainStep,
+  replayBounds,
+  replayQueues,
+  ReplayWorld,
+} from './ReplayWorld.js';
+export {
+  DispatchScene,
+  endedTask,
+  listedRunner,
+  runningTask,
+  sceneJob,
+  sceneQueue,
+  sceneStep,
+} from './DispatchScene.js';
 export type { Arrival, ReplayedJob } from './ReplayWorld.js';
