A gang member that is through with its work is not taken for stalled

Cause: members of a gang have uneven amounts of work, and one that is through reports 100 percent until the last one ends. After 2.5 s of that the whole gang was stopped as without progress, and its runner held back; some gangs were stopped in this way in each of their runs. The reason of such a stop names the percent now. A test fails without the change.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 
 import { runCapacityBench } from './capacity/capacityBench.js';
+import { runDispatchBench } from './dispatch/dispatchBench.js';
 import { runRouterBench } from './router/routerBench.js';
 import { runSchedulerBench } from './scheduler/schedulerBench.js';
 
@@ -10,6 +11,7 @@
 const benches: Readonly<Record<string, Bench>> = {
   router: runRouterBench,
   scheduler: runSchedulerBench,
+  dispatch: runDispatchBench,
   capacity: runCapacityBench,
 };
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -27,6 +27,8 @@
 
 /** Milliseconds without progress after which a running task counts as stalled. */
 const stalledMs = 2_500;
+/** Percent of a gang member that is through with its work and waits for the others to end. */
+const wholePercent = 100;
 /** Milliseconds after which an unanswered stop is ordered again. */
 const repeatStopMs = 700;
 /** Milliseconds for which jobs that are over are remembered. */
@@ -228,12 +230,13 @@
       const isStalled =
         unit.phase === UnitPhase.running &&
         !unit.step.isLasting &&
+        member.percent < wholePercent &&
         runner.silentCalls === 0 &&
         now - member.progressedAt > stalledMs &&
         runner.reportedAt - member.progressedAt > stalledMs;
       if (isStalled) {
         reportBadSign(this.state, runner, RunnerSign.stalling, now);
-        this.lifecycle.abort(unit, 'no progress', now);
+        this.lifecycle.abort(unit, `no progress beyond ${member.percent} %`, now);
       }
     });
   }
--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -226,6 +226,20 @@
   t.true((scene.dispatcher.state.runners.get('r1')?.heldBackUntil ?? 0) > scene.now);
 });
 
+test('a gang member that is through with its work may wait for the others', (t) => {
+  const scene = new DispatchScene();
+  scene.start();
+  for (let round = 0; round < 9; round += 1) {
+    scene.now += 400;
+    scene.report('r1', [{ ...runningTask(0), percent: 100 }]);
+    scene.report('r2', [{ ...runningTask(1), percent: 10 + round }]);
+    scene.dispatcher.noteLease('r1', scene.now);
+    scene.dispatcher.noteLease('r2', scene.now);
+  }
+  t.is(scene.step().stops.length, 0);
+  t.true((scene.dispatcher.state.runners.get('r1')?.heldBackUntil ?? 0) <= scene.now);
+});
+
 test('a lasting task is started again however it ends', (t) => {
   const lasting = { ...sceneStep, count: 1, isGang: false, isLasting: true };
   const scene = new DispatchScene([lasting]);
--- a/packages/testing/src/ReplayWorld.ts
+++ b/packages/testing/src/ReplayWorld.ts
@@ -1,4 +1,3 @@
-import { Random } from '@apricothoist/common';
 import type {
   DecisionLog,
   DispatchBounds,
@@ -55,7 +54,7 @@
   maxLeaseMs: 6_000,
   farSlowdown: 3,
 };
-const stepMs = 20;
+const tickMs = 20;
 const msPerSecond = 1_000;
 const coresPerAccelerator = 8;
 
@@ -127,6 +126,9 @@
   /** Core-seconds of runs that were stopped without being saved. */
   public wastedCoreSeconds = 0;
 
+  /** Milliseconds of real time that each step of the dispatcher took. */
+  public readonly stepMs: number[] = [];
+
   /** Starts that a runner refused for want of room. */
   public refusedStarts = 0;
 
@@ -191,12 +193,14 @@
         this.submit(waiting.shift() as Arrival);
       }
       this.runners.forEach((runner) => this.report(runner));
+      const begunAt = performance.now();
       const { starts, stops } = this.dispatcher.step(this.now, this.now);
+      this.stepMs.push(performance.now() - begunAt);
       this.dispatcher.takeDirty();
       stops.forEach(({ runnerId, task, run }) => this.stop(runnerId, `${task}#${run}`));
       starts.forEach((order) => this.start(order));
       this.track();
-      this.now += stepMs;
+      this.now += tickMs;
     }
   }
 
@@ -327,46 +331,3 @@
     });
   }
 }
-
-/**
- * The users' load, generated: urgent gangs of seconds that want whole runners of one rack, over
- * large gangs and wide batch jobs.
- *
- * @param factor 1: the load of the users' sheets for 32 runners
- */
-export function generateLoad(seed: number, lastsMs: number, factor: number): Arrival[] {
-  const random = new Random(seed);
-  const arrivals: Arrival[] = [];
-  const kinds = [
-    { queue: 'urgent', perSecond: 1.67, width: 3, cpu: 3_700, ms: 2_500, isGang: true },
-    { queue: 'large', perSecond: 0.44, width: 5, cpu: 13_000, ms: 8_500, isGang: true },
-    { queue: 'batch', perSecond: 0.33, width: 16, cpu: 2_800, ms: 9_500, isGang: false },
-  ];
-  kinds.forEach((kind) => {
-    let at = msPerSecond;
-    for (;;) {
-      at += random.exponential(msPerSecond / (kind.perSecond * factor));
-      if (at > lastsMs) {
-        return;
-      }
-      const accelerators = kind.queue === 'batch' ? 1 : random.pick([1, 2, 4, 8, 8]);
-      const count = Math.max(1, Math.round(random.jitter(kind.width, 0.8)));
-      const memoryMb = kind.queue === 'large' ? 53_000 : 15_000;
-      const step = {
-        count,
-        size: { cpu: kind.cpu, memoryMb, accelerators },
-        declaredMs: kind.ms * (0.2 + 3 * random.fraction()),
-        isGang: kind.isGang,
-        prefersOneRack: kind.queue === 'urgent',
-        savesProgress: kind.queue !== 'urgent' && random.fraction() < 0.45,
-      };
-      arrivals.push({
-        at,
-        queue: kind.queue,
-        steps: [step],
-        durationMs: random.jitter(kind.ms, 0.3),
-      });
-    }
-  });
-  return arrivals;
-}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -14,9 +14,10 @@
 export { canPlaceTogether } from './gangOracle.js';
 export type { OracleGang } from './gangOracle.js';
 export { RelayMode, TcpRelay } from './TcpRelay.js';
+export { generateLoad, grownLoad, smallLoad } from './generateLoad.js';
+export type { LoadBurst, LoadKind } from './generateLoad.js';
 export {
   createSpecification,
-  generateLoad,
   plainStep,
   replayBounds,
   replayQueues,
