Followers hear of changes ten times a second at most, and of outlooks that changed

Cause: every step of the scheduling instance sent a frame with the outlook of all queues (forty and more) to every follower: at the grown size up to a hundred frames a second to each of 36 followers.

--- a/packages/instance/src/JobBoard.ts
+++ b/packages/instance/src/JobBoard.ts
@@ -3,7 +3,7 @@
 
 /** News from the scheduling instance. */
 export interface BoardUpdate {
-  /** Whether `states` holds all jobs, or only those that changed. */
+  /** Whether this holds all jobs and queues, or only those that changed. */
   readonly isWhole: boolean;
   readonly states: readonly (readonly [id: string, state: JobState])[];
   /** Jobs whose records are deleted. */
@@ -18,7 +18,7 @@
 export class JobBoard {
   private states = new Map<string, JobState>();
 
-  private queues: ReadonlyMap<string, QueueOutlook> = new Map();
+  private queues = new Map<string, QueueOutlook>();
 
   private heardAt = -Infinity;
 
@@ -52,12 +52,12 @@
 
   public apply(update: BoardUpdate): void {
     if (update.isWhole) {
-      this.states = new Map(update.states);
-    } else {
-      update.states.forEach(([id, state]) => this.states.set(id, state));
+      this.states = new Map();
+      this.queues = new Map();
     }
+    update.states.forEach(([id, state]) => this.states.set(id, state));
     update.forgotten.forEach((id) => this.states.delete(id));
-    this.queues = new Map(update.queues);
+    update.queues.forEach(([queue, outlook]) => this.queues.set(queue, outlook));
     this.heardAt = this.clock.monotonic();
   }
 }
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from '@apricothoist/telemetry';
 import type { Result } from 'neverthrow';
 
+import { BoardNews } from './BoardNews.js';
 import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
 import type { BoardUpdate } from './JobBoard.js';
@@ -31,8 +32,6 @@
 const takeoverCallMs = 2_000;
 /** Milliseconds before a takeover is tried again. */
 const takeoverRetryMs = 100;
-/** Milliseconds between news without a change. */
-const newsEveryMs = 500;
 /** The registry of runners. */
 export interface RunnerRegistry {
   list(deadline: number): Promise<Result<readonly ListedRunner[], CoordinationError>>;
@@ -81,7 +80,7 @@
 
   private listedAt = -Infinity;
 
-  private toldAt = -Infinity;
+  private readonly news = new BoardNews();
 
   private isListing = false;
 
@@ -219,7 +218,7 @@
           runners: runners.value.length,
           revision: jobs.value.revision,
         });
-        this.publish(true, [...this.dispatcher.state.jobs.values()]);
+        this.tellWhole();
         return true;
       }
       await delay(takeoverRetryMs);
@@ -253,20 +252,26 @@
     if (forgotten.length > 0) {
       await this.writer.remove(forgotten);
     }
-    if (changed.length > 0 || this.now - this.toldAt >= newsEveryMs) {
-      this.publish(false, changed, forgotten);
+    this.news.noteStates(changed.map((job) => [job.id, job.state]));
+    this.news.noteForgotten(forgotten);
+    this.tellFollowers();
+  }
+
+  private tellFollowers(): void {
+    const update = this.news.take(this.now, () => this.dispatcher.describeQueues());
+    if (update !== undefined) {
+      this.services.publish(update);
     }
   }
 
-  private publish(
-    isWhole: boolean,
-    jobs: readonly JobRun[],
-    forgotten: readonly string[] = [],
-  ): void {
-    this.toldAt = this.now;
-    const queues = [...this.dispatcher.describeQueues()];
-    const states = jobs.map((job) => [job.id, job.state] as const);
-    this.services.publish({ isWhole, states, forgotten, queues });
+  private tellWhole(): void {
+    const { dispatcher, services } = this;
+    services.publish({
+      isWhole: true,
+      states: [...dispatcher.state.jobs.values()].map((job) => [job.id, job.state]),
+      forgotten: [],
+      queues: [...dispatcher.describeQueues()],
+    });
   }
 
   private listIfDue(): void {
