--- a/packages/dispatch/src/Admission.ts
+++ b/packages/dispatch/src/Admission.ts
@@ -4,7 +4,6 @@
 import { isFinal } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import type { Runner } from './Runner.js';
-import { UnitPhase } from './Unit.js';
 
 /** What a new job of a queue has to expect. */
 export interface QueueOutlook {
@@ -116,12 +115,9 @@
 }
 
 function remainingAcceleratorMs(job: JobRun, estimates: DurationEstimates): number {
-  let sum = 0;
-  job.units.forEach((unit) => {
-    if (unit.phase !== UnitPhase.done && unit.phase !== UnitPhase.failed && !unit.step.isLasting) {
-      const durationMs = estimates.estimate(job.queue.name, unit.step);
-      sum += unit.size.accelerators * unit.members.length * durationMs;
-    }
-  });
-  return sum;
+  const { remainders } = job;
+  return job.specification.steps.reduce((sum, step, index) => {
+    const tasks = step.isLasting ? 0 : (remainders[index]?.tasks ?? 0);
+    return sum + tasks * step.size.accelerators * estimates.estimate(job.queue.name, step);
+  }, 0);
 }
--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -1,10 +1,9 @@
 import { msPerSecond } from '@apricothoist/common';
 
 import type { DurationEstimates } from './DurationEstimates.js';
+import { roomOf } from './Job.js';
 import type { JobRun } from './JobRun.js';
-import { coresOf, multiply } from './Resources.js';
-import type { Unit } from './Unit.js';
-import { UnitPhase } from './Unit.js';
+import { coresOf } from './Resources.js';
 
 /** Multiple of the objective up to which a late job is still of use to its client. */
 export const lateLimit = 3;
@@ -41,29 +40,21 @@
 
 /** Milliseconds of the longest chain of steps that are not done. */
 export function remainingChain(job: JobRun, estimates: DurationEstimates, now: number): number {
-  const { steps } = job.specification;
+  const { remainders } = job;
   const lengths: number[] = [];
-  steps.forEach((step, index) => {
-    const units = [...job.units.values()].filter((unit) => unit.stepIndex === index);
-    const pending = units.filter((unit) => unit.phase !== UnitPhase.done);
-    const fullMs = estimates.estimate(job.queue.name, step);
-    const ownMs = pending.reduce(
-      (longest, unit) => Math.max(longest, remainingOf(unit, fullMs, now)),
-      0,
-    );
+  job.specification.steps.forEach((step, index) => {
     const before = Math.max(0, ...step.after.map((needed) => lengths[needed] ?? 0));
-    lengths[index] = before + ownMs;
+    const remainder = remainders[index];
+    lengths[index] = before;
+    if (remainder !== undefined && remainder.tasks > 0) {
+      const fullMs = estimates.estimate(job.queue.name, step);
+      const ranMs = remainder.hasIdle ? 0 : now - remainder.latestStart;
+      lengths[index] = before + Math.max(0, fullMs - ranMs);
+    }
   });
   return Math.max(0, ...lengths);
 }
 
-function remainingOf(unit: Unit, fullMs: number, now: number): number {
-  if (unit.startedAt === 0) {
-    return fullMs;
-  }
-  return Math.max(0, fullMs - (now - unit.startedAt));
-}
-
 /** Monotonic time by which the job meets its objective. */
 export function objectiveOf(job: JobRun, estimates: DurationEstimates): number {
   return job.arrivedAt + objectiveMs(job, estimates);
@@ -82,14 +73,11 @@
 
 /** Work that is not done yet, in core-seconds. */
 export function remainingWork(job: JobRun, estimates: DurationEstimates): number {
-  let work = 0;
-  job.units.forEach((unit) => {
-    if (unit.phase !== UnitPhase.done) {
-      const durationMs = estimates.estimate(job.queue.name, unit.step);
-      work += (coresOf(multiply(unit.size, unit.members.length)) * durationMs) / msPerSecond;
-    }
-  });
-  return work;
+  const { remainders } = job;
+  return job.specification.steps.reduce((work, step, index) => {
+    const durationMs = estimates.estimate(job.queue.name, step);
+    return work + ((remainders[index]?.tasks ?? 0) * coresOf(roomOf(step)) * durationMs) / msPerSecond;
+  }, 0);
 }
 
 /**
--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -38,6 +38,8 @@
 
   private readonly usable: readonly Runner[];
 
+  private readonly totalAccelerators: number;
+
   /** Accelerators that work which cannot be saved leaves to urgent jobs. */
   private readonly headroom: number;
 
@@ -50,10 +52,14 @@
     private readonly now: number,
   ) {
     this.usable = [...state.runners.values()].filter((runner) => isUsable(runner, now));
+    this.totalAccelerators = this.usable.reduce(
+      (sum, { listed }) => sum + listed.capacity.accelerators,
+      0,
+    );
     this.startReserved();
     this.ledger = new RoomLedger(this.usable);
     this.places = new PlacementSearch(this.ledger);
-    this.covered = coveredJobs(state.jobs.values(), state.accounts);
+    this.covered = coveredJobs(state.openJobs, state.accounts);
     const most = this.totalAccelerators * state.policy.headroomShare;
     this.headroom = state.urgentHeadroom.at(now, most);
     this.patientHeadroom = Math.max(this.headroom, Math.min(most, this.expectUrgent()));
@@ -63,30 +69,24 @@
     this.ranks().forEach((rank) => this.serve(rank));
   }
 
-  private get totalAccelerators(): number {
-    return this.usable.reduce((sum, { listed }) => sum + listed.capacity.accelerators, 0);
-  }
-
   // Accelerators that urgent jobs are likely to ask for besides what they use or wait for now.
   private expectUrgent(): number {
-    const { urgentDemand, jobs } = this.state;
-    const wanted = urgentAccelerators(jobs.values());
+    const { urgentDemand, openJobs } = this.state;
+    const wanted = urgentAccelerators(openJobs);
     urgentDemand.observe(wanted, this.now);
     return urgentDemand.covered - wanted;
   }
 
   private ranks(): JobRank[] {
     const { estimates } = this.state;
-    return [...this.state.jobs.values()]
-      .filter((job) => !job.isOver && this.waitingUnits(job).length > 0)
+    return [...this.state.openJobs]
+      .filter((job) => this.waitingUnits(job).length > 0)
       .map((job) => rankJob(job, this.covered.has(job), estimates, this.now))
       .sort(compareRanks);
   }
 
   private waitingUnits(job: JobRun): Unit[] {
-    return [...job.units.values()].filter(
-      (unit) => unit.phase === UnitPhase.waiting && unit.retryAt <= this.now && job.isReady(unit),
-    );
+    return job.readyUnits.filter((unit) => unit.retryAt <= this.now);
   }
 
   private serve(rank: JobRank): void {
@@ -144,11 +144,8 @@
     if (found === undefined) {
       return false;
     }
-    unit.apply('reserve');
-    unit.reservedUntil = this.now + this.state.bounds.stopMs + reservationSlackMs;
-    found.placement.forEach((count, runnerId) => {
-      this.state.runners.get(runnerId)?.reservations.set(unit, count);
-    });
+    const until = this.now + this.state.bounds.stopMs + reservationSlackMs;
+    this.lifecycle.reserve(unit, found.placement, until);
     this.ledger.take(unit, found.placement);
     this.state.log.decide('unitReserved', {
       job: unit.job.id,
@@ -213,22 +210,18 @@
   // Starts reserved units whose places are all empty by now, and drops reservations that take too
   // long or whose runners cannot be used any more.
   private startReserved(): void {
-    this.state.jobs.forEach((job) => {
-      job.units.forEach((unit) => {
-        if (unit.phase !== UnitPhase.reserved) {
-          return;
-        }
-        const placement = this.reservedPlacement(unit);
-        const isLost = [...placement.keys()].some(
-          (runnerId) => !this.usable.some((runner) => runner.id === runnerId),
-        );
-        if (isLost || placement.size === 0 || this.now > unit.reservedUntil) {
-          this.lifecycle.release(unit);
-        } else if (this.isEmpty(unit, placement)) {
-          this.lifecycle.forgetReservation(unit);
-          this.lifecycle.order(unit, placement, this.now);
-        }
+    [...this.state.reserved].forEach((unit) => {
+      const placement = this.reservedPlacement(unit);
+      const isLost = [...placement.keys()].some((runnerId) => {
+        const runner = this.state.runners.get(runnerId);
+        return runner === undefined || !isUsable(runner, this.now);
       });
+      if (isLost || placement.size === 0 || this.now > unit.reservedUntil) {
+        this.lifecycle.release(unit);
+      } else if (this.isEmpty(unit, placement)) {
+        this.lifecycle.forgetReservation(unit);
+        this.lifecycle.order(unit, placement, this.now);
+      }
     });
   }
 
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -2,6 +2,7 @@
 import type { Account, Queue } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import type { Runner } from './Runner.js';
+import type { Unit } from './Unit.js';
 import { UrgentDemand } from './UrgentDemand.js';
 import { UrgentHeadroom } from './UrgentHeadroom.js';
 
@@ -86,6 +87,12 @@
 export class DispatchState {
   public readonly jobs = new Map<string, JobRun>();
 
+  /** Jobs that are not over. */
+  public readonly openJobs = new Set<JobRun>();
+
+  /** Units that have places reserved. */
+  public readonly reserved = new Set<Unit>();
+
   public readonly runners = new Map<string, Runner>();
 
   public queues: ReadonlyMap<string, Queue> = new Map();
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -22,9 +22,13 @@
 import { reportBadSign, RunnerSign } from './RunnerSigns.js';
 import type { Unit } from './Unit.js';
 import { UnitPhase } from './Unit.js';
-import type { StartOutcome } from './UnitLifecycle.js';
-import { answerStop, UnitLifecycle } from './UnitLifecycle.js';
+import { answerStop, StartOutcome, UnitLifecycle } from './UnitLifecycle.js';
 
+/**
+ * Milliseconds between two looks at what time alone changes: leases, stalled tasks, pauses. Small
+ * against each of these.
+ */
+const checkEveryMs = 90;
 /** Milliseconds without progress after which a running task counts as stalled. */
 const stalledMs = 2_500;
 /** Percent of a gang member that is through with its work and waits for the others to end. */
@@ -58,6 +62,11 @@
 
   private forgotten: string[] = [];
 
+  /** Whether something happened that a round could answer. */
+  private isRoundDue = true;
+
+  private nextCheckAt = 0;
+
   private readonly stopOrderedAt = new Map<string, number>();
 
   public constructor(
@@ -102,10 +111,15 @@
     const queue = this.state.queues.get(specification.queue) ?? fallback;
     const job = new JobRun(specification, queue, arrivedAt);
     this.state.jobs.set(job.id, job);
+    this.state.openJobs.add(job);
+    this.isRoundDue = true;
     if (stored !== undefined) {
       job.storedVersion = stored.version;
       this.restoration.restore(job, stored.progress, now);
     }
+    if (job.isOver) {
+      this.state.openJobs.delete(job);
+    }
     this.state.log.decide('jobQueued', {
       job: job.id,
       queue: queue.name,
@@ -120,6 +134,7 @@
   public cancelJob(id: string, now: number): void {
     const job = this.state.jobs.get(id);
     if (job !== undefined && !job.isOver) {
+      this.isRoundDue = true;
       this.lifecycle.endJob(job, JobState.cancelled, 'cancelled by its client', now);
     }
   }
@@ -127,12 +142,17 @@
   /** Takes the newest listing of the registry, in whole. */
   public listRunners(listed: readonly ListedRunner[], now: number): void {
     this.listing.take(listed, now);
+    this.isRoundDue = true;
   }
 
   public readReport(runnerId: string, report: RunnerReport, now: number): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
+      const { isFenced, silentCalls } = runner;
+      const tasks = runner.occupants.size;
       this.reports.read(runner, report, now);
+      this.isRoundDue ||=
+        report.ended.length > 0 || !isFenced || silentCalls > 0 || runner.occupants.size !== tasks;
     }
   }
 
@@ -162,6 +182,7 @@
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
       this.lifecycle.answerStart(runner, task, run, outcome, now);
+      this.isRoundDue ||= outcome !== StartOutcome.started;
     }
   }
 
@@ -174,15 +195,18 @@
 
   /** Applies what time alone changes, decides, and returns the orders to be sent. */
   public step(now: number, wallNow: number): Orders {
-    this.state.jobs.forEach((job) => {
-      if (!job.isOver && job.createDueUnits(wallNow)) {
-        job.isDirty = true;
-      }
-    });
-    this.state.runners.forEach((runner) => this.checkRunner(runner, now));
-    this.leaveDraining(now);
-    this.forget(now);
-    new DispatchRound(this.state, this.lifecycle, now).run();
+    if (now >= this.nextCheckAt) {
+      this.nextCheckAt = now + checkEveryMs;
+      this.state.runners.forEach((runner) => this.checkRunner(runner, now));
+      this.leaveDraining(now);
+      this.forget(now);
+      this.isRoundDue = true;
+    }
+    if (this.isRoundDue) {
+      this.isRoundDue = false;
+      this.createDueUnits(wallNow);
+      new DispatchRound(this.state, this.lifecycle, now).run();
+    }
     const { starts, stops } = this.state;
     this.state.starts = [];
     this.state.stops = [];
@@ -208,8 +232,16 @@
 
   /** What new jobs of each queue have to expect. */
   public describeQueues(): Map<string, QueueOutlook> {
-    const { queues, jobs, runners, estimates } = this.state;
-    return describeQueues(queues, jobs.values(), runners.values(), estimates);
+    const { queues, openJobs, runners, estimates } = this.state;
+    return describeQueues(queues, openJobs, runners.values(), estimates);
+  }
+
+  private createDueUnits(wallNow: number): void {
+    this.state.openJobs.forEach((job) => {
+      if (job.createDueUnits(wallNow)) {
+        job.isDirty = true;
+      }
+    });
   }
 
   private checkRunner(runner: Runner, now: number): void {
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -25,6 +25,11 @@
   readonly usesLeftover: boolean;
 }
 
+/** What a task of the step takes from its runner. */
+export function roomOf(step: Step): Resources {
+  return step.usesLeftover ? { ...step.size, cpu: 0 } : step.size;
+}
+
 /** A job as its client submitted it; it never changes afterwards. */
 export interface JobSpecification {
   readonly id: string;
--- a/packages/dispatch/src/JobRun.ts
+++ b/packages/dispatch/src/JobRun.ts
@@ -2,6 +2,16 @@
 import { isFinal, JobState } from './Job.js';
 import { createMember, Unit, UnitPhase } from './Unit.js';
 
+/** What is left of one step, all occurrences together. */
+export interface StepRemainder {
+  /** Tasks that are not done. */
+  tasks: number;
+  /** Whether some unit that is not done does not run. */
+  hasIdle: boolean;
+  /** Monotonic time of the latest start among the running units. */
+  latestStart: number;
+}
+
 /** A job with the progress of its units. */
 export class JobRun {
   public state: JobState = JobState.queued;
@@ -23,6 +33,15 @@
   /** Monotonic time of the end; 0 before. */
   public endedAt = 0;
 
+  /** Grows with each change of a unit's phase. */
+  private unitChanges = 0;
+
+  private summarizedChanges = -1;
+
+  private waiting: Unit[] = [];
+
+  private remainder: StepRemainder[] = [];
+
   public constructor(
     public readonly specification: JobSpecification,
     /** The queue as of the acceptance or of the newest configuration that has it. */
@@ -43,7 +62,7 @@
   public get isDone(): boolean {
     return (
       this.createdOccurrences >= this.specification.occurrences &&
-      [...this.units.values()].every((unit) => unit.phase === UnitPhase.done)
+      this.remainders.every(({ tasks }) => tasks === 0)
     );
   }
 
@@ -66,16 +85,52 @@
     return this.createdOccurrences > before;
   }
 
-  /** Whether the steps that this unit's step needs are done. */
-  public isReady(unit: Unit): boolean {
-    return unit.step.after.every((needed) =>
-      this.unitsOf(unit.occurrence, needed).every((other) => other.phase === UnitPhase.done),
-    );
+  /** A unit has entered another phase. */
+  public noteUnitChange(): void {
+    this.unitChanges += 1;
   }
 
-  public unitsOf(occurrence: number, stepIndex: number): Unit[] {
-    return [...this.units.values()].filter(
-      (unit) => unit.occurrence === occurrence && unit.stepIndex === stepIndex,
+  /** Units that wait, and whose step may start. */
+  public get readyUnits(): readonly Unit[] {
+    this.summarize();
+    return this.waiting;
+  }
+
+  /** What is left, by step. */
+  public get remainders(): readonly StepRemainder[] {
+    this.summarize();
+    return this.remainder;
+  }
+
+  // Scheduling rounds ask many times between two changes.
+  private summarize(): void {
+    if (this.summarizedChanges === this.unitChanges) {
+      return;
+    }
+    this.summarizedChanges = this.unitChanges;
+    this.remainder = this.specification.steps.map(() => ({
+      tasks: 0,
+      hasIdle: false,
+      latestStart: 0,
+    }));
+    const waiting: Unit[] = [];
+    const openSteps = new Set<number>();
+    const steps = this.specification.steps.length;
+    this.units.forEach((unit) => {
+      const remainder = this.remainder[unit.stepIndex] as StepRemainder;
+      if (unit.phase === UnitPhase.done) {
+        return;
+      }
+      openSteps.add(unit.occurrence * steps + unit.stepIndex);
+      remainder.tasks += unit.members.length;
+      remainder.hasIdle ||= unit.phase !== UnitPhase.running;
+      remainder.latestStart = Math.max(remainder.latestStart, unit.startedAt);
+      if (unit.phase === UnitPhase.waiting) {
+        waiting.push(unit);
+      }
+    });
+    this.waiting = waiting.filter((unit) =>
+      unit.step.after.every((needed) => !openSteps.has(unit.occurrence * steps + needed)),
     );
   }
 
@@ -88,6 +143,7 @@
       groups.forEach((group) => {
         const unit = new Unit(this, occurrence, stepIndex, group);
         this.units.set(unit.key, unit);
+        this.noteUnitChange();
       });
     });
   }
--- a/packages/dispatch/src/Restoration.ts
+++ b/packages/dispatch/src/Restoration.ts
@@ -3,7 +3,7 @@
 import type { ProgressRecord } from './ProgressRecord.js';
 import { extendLease, Runner } from './Runner.js';
 import type { Unit } from './Unit.js';
-import { MemberState, UnitPhase } from './Unit.js';
+import { MemberState } from './Unit.js';
 import type { UnitLifecycle } from './UnitLifecycle.js';
 import { placeMember } from './UnitLifecycle.js';
 
@@ -28,7 +28,7 @@
     progress.done.forEach((key) => {
       const unit = job.units.get(key);
       if (unit !== undefined) {
-        unit.phase = UnitPhase.done;
+        unit.restoreDone();
       }
     });
     progress.units.forEach(([key, run, failures, saved, runnerIds]) => {
--- a/packages/dispatch/src/RoomLedger.ts
+++ b/packages/dispatch/src/RoomLedger.ts
@@ -18,10 +18,16 @@
 
   private readonly racks = new Map<string, RunnerRoom[]>();
 
+  private readonly list: RunnerRoom[] = [];
+
+  private emptyAccelerators = 0;
+
   public constructor(runners: Iterable<Runner>) {
     [...runners].forEach((runner) => {
       const room = { runner, free: runner.unreservedRoom };
       this.rooms.set(runner.id, room);
+      this.list.push(room);
+      this.emptyAccelerators += Math.max(0, room.free.accelerators);
       const { rack } = runner.listed;
       const members = this.racks.get(rack);
       if (members === undefined) {
@@ -32,8 +38,8 @@
     });
   }
 
-  public get all(): RunnerRoom[] {
-    return [...this.rooms.values()];
+  public get all(): readonly RunnerRoom[] {
+    return this.list;
   }
 
   public get byRack(): ReadonlyMap<string, readonly RunnerRoom[]> {
@@ -41,14 +47,16 @@
   }
 
   public get freeAccelerators(): number {
-    return this.all.reduce((sum, { free }) => sum + Math.max(0, free.accelerators), 0);
+    return this.emptyAccelerators;
   }
 
   public take(unit: Unit, placement: Placement): void {
     placement.forEach((count, runnerId) => {
       const room = this.rooms.get(runnerId);
       if (room !== undefined) {
+        this.emptyAccelerators -= Math.max(0, room.free.accelerators);
         room.free = subtract(room.free, multiply(unit.size, count));
+        this.emptyAccelerators += Math.max(0, room.free.accelerators);
       }
     });
   }
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -30,8 +30,9 @@
 
 /** Where a runner stands with this scheduler. */
 export class Runner {
-  /** Tasks by `task#run`. */
-  public readonly occupants = new Map<string, Occupant>();
+  private readonly tasks = new Map<string, Occupant>();
+
+  private usedRoom: Resources = noResources;
 
   /** Units that have places kept here, with the number of places. */
   public readonly reservations = new Map<Unit, number>();
@@ -79,13 +80,31 @@
     return this.listed.isDraining;
   }
 
+  /** Tasks by `task#run`. */
+  public get occupants(): ReadonlyMap<string, Occupant> {
+    return this.tasks;
+  }
+
+  public addOccupant(occupant: Occupant): void {
+    const key = occupantKey(occupant.member.task, occupant.run);
+    if (!this.tasks.has(key)) {
+      this.tasks.set(key, occupant);
+      this.usedRoom = add(this.usedRoom, occupant.unit.size);
+    }
+  }
+
+  public removeOccupant(task: string, run: number): void {
+    const key = occupantKey(task, run);
+    const occupant = this.tasks.get(key);
+    if (occupant !== undefined) {
+      this.tasks.delete(key);
+      this.usedRoom = subtract(this.usedRoom, occupant.unit.size);
+    }
+  }
+
   /** Sum of all occupants, stopping ones included. */
   public get used(): Resources {
-    let sum = noResources;
-    this.occupants.forEach(({ unit }) => {
-      sum = add(sum, unit.size);
-    });
-    return sum;
+    return this.usedRoom;
   }
 
   /** Sum of occupants whose run is being ended. */
--- a/packages/dispatch/src/Unit.ts
+++ b/packages/dispatch/src/Unit.ts
@@ -2,6 +2,7 @@
 
 import type { JobRun } from './JobRun.js';
 import type { Step } from './Job.js';
+import { roomOf } from './Job.js';
 import type { Resources } from './Resources.js';
 import { coresOf } from './Resources.js';
 import unitSource from './unit.chart.json' with { type: 'json' };
@@ -53,7 +54,10 @@
 
 /** What starts and ends together: a whole gang, or a single task. */
 export class Unit {
-  public phase: UnitPhase = unitChart.initial;
+  private currentPhase: UnitPhase = unitChart.initial;
+
+  /** What one member takes. */
+  public readonly size: Resources;
 
   /** Number of the current or last run; grows with each. */
   public run = 0;
@@ -89,7 +93,13 @@
     public readonly occurrence: number,
     public readonly stepIndex: number,
     public readonly members: readonly Member[],
-  ) {}
+  ) {
+    this.size = roomOf(this.step);
+  }
+
+  public get phase(): UnitPhase {
+    return this.currentPhase;
+  }
 
   public get step(): Step {
     return this.job.specification.steps[this.stepIndex] as Step;
@@ -100,12 +110,6 @@
     return `${this.occurrence}.${this.stepIndex}.${this.members[0]?.index ?? 0}`;
   }
 
-  /** What one member takes. */
-  public get size(): Resources {
-    const { step } = this;
-    return step.usesLeftover ? { ...step.size, cpu: 0 } : step.size;
-  }
-
   /** Size of all members together, in cores. */
   public get cores(): number {
     return coresOf(this.size) * this.members.length;
@@ -121,7 +125,14 @@
 
   /** Applies a chart event; an event that the phase does not list changes nothing. */
   public apply(event: UnitEvent): void {
-    this.phase = unitChart.next(this.phase, event);
+    this.currentPhase = unitChart.next(this.phase, event);
+    this.job.noteUnitChange();
+  }
+
+  /** Takes over from the store that the unit is done. */
+  public restoreDone(): void {
+    this.currentPhase = UnitPhase.done;
+    this.job.noteUnitChange();
   }
 }
 
--- a/packages/dispatch/src/UnitLifecycle.ts
+++ b/packages/dispatch/src/UnitLifecycle.ts
@@ -194,6 +194,16 @@
     });
   }
 
+  /** Keeps places for a unit that are not empty yet. */
+  public reserve(unit: Unit, placement: Placement, until: number): void {
+    unit.apply('reserve');
+    unit.reservedUntil = until;
+    this.state.reserved.add(unit);
+    placement.forEach((count, runnerId) => {
+      this.state.runners.get(runnerId)?.reservations.set(unit, count);
+    });
+  }
+
   /** Gives the places of a reservation back. */
   public release(unit: Unit): void {
     unit.apply('release');
@@ -201,6 +211,7 @@
   }
 
   public forgetReservation(unit: Unit): void {
+    this.state.reserved.delete(unit);
     this.state.runners.forEach((runner) => runner.reservations.delete(unit));
   }
 
@@ -209,6 +220,7 @@
     job.state = state;
     job.isDirty = true;
     job.endedAt = now;
+    this.state.openJobs.delete(job);
     this.state.log.decide('jobEnded', {
       job: job.id,
       queue: job.queue.name,
@@ -237,7 +249,7 @@
 
   private end(runner: Runner, occupant: Occupant, now: number): void {
     const { unit, member, run } = occupant;
-    runner.occupants.delete(occupantKey(member.task, run));
+    runner.removeOccupant(member.task, run);
     member.state = MemberState.over;
     this.settle(unit, now);
   }
@@ -247,7 +259,7 @@
       const runner =
         member.runnerId === undefined ? undefined : this.state.runners.get(member.runnerId);
       if (runner !== undefined) {
-        runner.occupants.delete(occupantKey(member.task, unit.run));
+        runner.removeOccupant(member.task, unit.run);
         runner.badSigns = 0;
         runner.failedJobs.clear();
       }
@@ -295,8 +307,7 @@
   member.settledAt = Infinity;
   member.isStopOrdered = false;
   member.percent = 0;
-  const occupant: Occupant = { unit, member, run: unit.run };
-  runner.occupants.set(occupantKey(member.task, unit.run), occupant);
+  runner.addOccupant({ unit, member, run: unit.run });
 }
 
 /** A stop was answered: from now on a report without the run means that it does not run. */
--- a/packages/dispatch/src/UrgentDemand.ts
+++ b/packages/dispatch/src/UrgentDemand.ts
@@ -1,5 +1,4 @@
 import type { JobRun } from './JobRun.js';
-import { UnitPhase } from './Unit.js';
 
 /** Milliseconds of one slot of the window. */
 const slotMs = 500;
@@ -46,11 +45,10 @@
     if (job.isOver || job.queue.priority !== 0) {
       return;
     }
-    job.units.forEach((unit) => {
-      const isDone = unit.phase === UnitPhase.done || unit.phase === UnitPhase.failed;
-      if (!isDone && job.isReady(unit)) {
-        sum += unit.size.accelerators * unit.members.length;
-      }
+    const { remainders, specification } = job;
+    specification.steps.forEach((step, index) => {
+      const isReady = step.after.every((needed) => remainders[needed]?.tasks === 0);
+      sum += isReady ? step.size.accelerators * (remainders[index]?.tasks ?? 0) : 0;
     });
   });
   return sum;
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -63,7 +63,9 @@
 
   /** Looks again whether the runner has to be called. */
   public wake(): void {
-    this.resume?.();
+    if (this.isNeeded && !this.hasUnstoredEnds) {
+      this.resume?.();
+    }
   }
 
   private get isNeeded(): boolean {
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -231,13 +231,9 @@
     const orders = this.dispatcher.step(this.now, this.services.clock.wall());
     orders.stops.forEach((order) => this.sender.stop(order));
     const changed = this.dispatcher.takeDirty();
-    const ends = [...this.dispatcher.state.runners.values()].map(
-      ({ id, listed, processedEnd }) => ({
-        id,
-        bornAt: listed.bornAt,
-        end: processedEnd,
-      }),
-    );
+    const ends = [...this.dispatcher.state.runners.values()]
+      .filter(({ id, processedEnd }) => this.storedEnd(id) !== processedEnd)
+      .map(({ id, listed, processedEnd }) => ({ id, bornAt: listed.bornAt, end: processedEnd }));
     if (changed.length > 0 && !(await this.writer.write(changed))) {
       this.resign('progress cannot be stored');
       return;
