--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -19,6 +19,8 @@
 
 /** Milliseconds kept for the orders of a reclaim within the bound of a guarantee. */
 const reclaimMarginMs = 700;
+/** Milliseconds before victims are sought again in vain; short against the slack of urgent jobs. */
+const searchAgainMs = 150;
 /** Share of its objective that a job must have to spare to wait for likely urgent jobs. */
 const patientShare = 0.4;
 /** Share of empty accelerators from which the service counts as hardly used; the rule says half. */
@@ -134,6 +136,9 @@
 
   private reclaim(unit: Unit, rank: JobRank): boolean {
     const maxCost = this.affordableLoss(rank);
+    if (this.now < unit.searchAt) {
+      return false;
+    }
     const search = new VictimSearch(
       this.ledger,
       this.now,
@@ -142,6 +147,7 @@
     );
     const found = search.find(unit);
     if (found === undefined) {
+      unit.searchAt = this.now + searchAgainMs;
       return false;
     }
     const until = this.now + this.state.bounds.stopMs + reservationSlackMs;
--- a/packages/dispatch/src/DurationEstimates.ts
+++ b/packages/dispatch/src/DurationEstimates.ts
@@ -1,45 +1,73 @@
 import type { Step } from './Job.js';
 
-/** Runs that count as much as the declared duration: declarations are off by several times. */
-const declaredWeight = 0.25;
 /** Older runs fade so that the newest hundred or so dominate. */
 const maxRuns = 100;
+/**
+ * Squared spread of declarations, in logarithms, that has to be seen before they count in full: some
+ * ten runs whose declarations differ by a factor of two.
+ */
+const declaredPrior = 4;
 
+/** Moments of the logarithms of actual and declared durations in milliseconds. */
 interface Observed {
   runs: number;
-  /** Mean of the logarithm of the duration in milliseconds. */
-  meanLog: number;
+  meanActual: number;
+  meanDeclared: number;
+  declaredVariance: number;
+  covariance: number;
+}
+
+function declaredLog(step: Step): number {
+  return Math.log(Math.max(1, step.declaredMs));
 }
 
 /**
- * Durations of tasks learned by queue. Declared durations are often off by several times, while
- * tasks of one queue resemble each other, so a few finished runs outweigh the declaration.
+ * Durations of tasks learned by queue. Declared durations are off by several times in some queues
+ * and good in others, so a regression over the finished runs of each queue tells how much of the
+ * declaration counts beside the usual duration.
  */
 export class DurationEstimates {
   private readonly byQueue = new Map<string, Observed>();
 
-  public record(queue: string, durationMs: number): void {
-    const observed = this.byQueue.get(queue) ?? { runs: 0, meanLog: 0 };
+  public record(queue: string, step: Step, durationMs: number): void {
+    const actual = Math.log(Math.max(1, durationMs));
+    const declared = declaredLog(step);
+    const observed = this.byQueue.get(queue);
+    if (observed === undefined) {
+      this.byQueue.set(queue, {
+        runs: 1,
+        meanActual: actual,
+        meanDeclared: declared,
+        declaredVariance: 0,
+        covariance: 0,
+      });
+      return;
+    }
     observed.runs = Math.min(maxRuns, observed.runs + 1);
-    observed.meanLog += (Math.log(Math.max(1, durationMs)) - observed.meanLog) / observed.runs;
-    this.byQueue.set(queue, observed);
+    const weight = 1 / observed.runs;
+    const declaredOff = declared - observed.meanDeclared;
+    const actualOff = actual - observed.meanActual;
+    observed.meanActual += weight * actualOff;
+    observed.meanDeclared += weight * declaredOff;
+    observed.declaredVariance += weight * (declaredOff ** 2 * (1 - weight) - observed.declaredVariance);
+    observed.covariance += weight * (declaredOff * actualOff * (1 - weight) - observed.covariance);
   }
 
   /** Usual duration of the queue's finished tasks in milliseconds; 0 before the first. */
   public learned(queue: string): number {
     const observed = this.byQueue.get(queue);
-    return observed === undefined ? 0 : Math.exp(observed.meanLog);
+    return observed === undefined ? 0 : Math.exp(observed.meanActual);
   }
 
   /** Expected duration of one task in milliseconds. */
   public estimate(queue: string, step: Step): number {
-    const declaredMs = Math.max(1, step.declaredMs);
     const observed = this.byQueue.get(queue);
     if (observed === undefined) {
-      return declaredMs;
+      return Math.max(1, step.declaredMs);
     }
-    const weight = observed.runs + declaredWeight;
-    const sum = observed.meanLog * observed.runs + Math.log(declaredMs) * declaredWeight;
-    return Math.exp(sum / weight);
+    const { runs, meanActual, meanDeclared, declaredVariance, covariance } = observed;
+    const slope = (covariance * runs) / (declaredVariance * runs + declaredPrior);
+    const trust = Math.min(1, Math.max(0, slope));
+    return Math.exp(meanActual + trust * (declaredLog(step) - meanDeclared));
   }
 }
--- a/packages/dispatch/src/Unit.ts
+++ b/packages/dispatch/src/Unit.ts
@@ -80,6 +80,9 @@
   /** Monotonic time before which the unit is not tried again. */
   public retryAt = 0;
 
+  /** Monotonic time before which no victims are sought for it again. */
+  public searchAt = 0;
+
   /** Monotonic time at which a reservation is given up. */
   public reservedUntil = 0;
 
--- a/packages/dispatch/src/UnitLifecycle.ts
+++ b/packages/dispatch/src/UnitLifecycle.ts
@@ -266,7 +266,7 @@
       member.state = MemberState.over;
     });
     if (unit.startedAt > 0 && unit.saved === '') {
-      this.state.estimates.record(unit.job.queue.name, now - unit.startedAt);
+      this.state.estimates.record(unit.job.queue.name, unit.step, now - unit.startedAt);
     }
     unit.apply('finish');
     unit.job.isDirty = true;
--- a/packages/dispatch/src/VictimSearch.ts
+++ b/packages/dispatch/src/VictimSearch.ts
@@ -79,32 +79,40 @@
     const free = new Map<string, Resources>();
     eligible.forEach((room) => free.set(room.runner.id, futureRoom(room)));
     const victims = new Set<Unit>();
+    const openings = new Map<string, Opening | undefined>();
     let cost = 0;
     let placement = placeIn(unit, eligible, free);
     while (placement === undefined) {
-      const opening = this.cheapestOpening(unit, eligible, free, victims);
+      const opening = this.cheapestOpening(unit, eligible, free, victims, openings);
       if (opening === undefined || cost + opening.cost > this.maxCost) {
         return undefined;
       }
       opening.victims.forEach((victim) => {
         victims.add(victim);
         addRoom(free, victim);
+        victim.members.forEach(({ runnerId }) => openings.delete(runnerId ?? ''));
       });
+      openings.delete(opening.runnerId);
       cost += opening.cost;
       placement = placeIn(unit, eligible, free);
     }
     return { reclaim: { placement, victims: [...victims] }, cost };
   }
 
+  // `openings` keeps what was found for runners that no later choice has touched.
   private cheapestOpening(
     unit: Unit,
     rooms: readonly RunnerRoom[],
     free: ReadonlyMap<string, Resources>,
     chosen: ReadonlySet<Unit>,
+    openings: Map<string, Opening | undefined>,
   ): Opening | undefined {
     let best: Opening | undefined;
     rooms.forEach(({ runner }) => {
-      const opening = this.openOn(unit, runner, free.get(runner.id), chosen);
+      if (!openings.has(runner.id)) {
+        openings.set(runner.id, this.openOn(unit, runner, free.get(runner.id), chosen));
+      }
+      const opening = openings.get(runner.id);
       if (opening !== undefined && opening.cost < (best?.cost ?? Infinity)) {
         best = opening;
       }
@@ -129,7 +137,12 @@
     }
     const victims: Unit[] = [];
     let freed = room;
-    for (const victim of this.candidatesOn(runner, chosen)) {
+    const candidates = this.candidatesOn(runner, chosen);
+    const most = candidates.reduce((sum, victim) => add(sum, sizeOn(victim, runner.id)), room);
+    if (countPlaces(unit, runner, most) < wanted) {
+      return undefined;
+    }
+    for (const victim of candidates) {
       if (countPlaces(unit, runner, freed) >= wanted) {
         break;
       }
