--- a/packages/bench/src/dispatch/dispatchBench.ts
+++ b/packages/bench/src/dispatch/dispatchBench.ts
@@ -1,3 +1,4 @@
+import { defaultPolicy } from '@apricothoist/dispatch';
 import type { Arrival } from '@apricothoist/testing';
 import { generateLoad, grownLoad, replayQueues, ReplayWorld } from '@apricothoist/testing';
 
@@ -10,6 +11,8 @@
 const seeds = [1, 2];
 /** Urgent jobs come at twice their rate for some seconds, as on the users' days with trouble. */
 const bursts = [{ queue: 'urgent', from: 8_000, until: 14_000, factor: 2 }];
+/** One runner in three is slow, and tasks differ, as on the users' sheets. */
+const variety = { slowEvery: 3, slowFactor: 1.3, unevenness: 0.15 };
 const msPerSecond = 1_000;
 const coresPerAccelerator = 8;
 /** Multiple of the objective up to which a late answer still counts, as the users weigh it. */
@@ -81,7 +84,7 @@
     const steps: number[] = [];
     seeds.forEach((seed) => {
       const load = generateLoad(seed, lastsMs, factor, grownLoad, bursts);
-      const world = new ReplayWorld(racks, runnersPerRack);
+      const world = new ReplayWorld(racks, runnersPerRack, defaultPolicy, variety);
       world.play(playMs, load);
       Object.keys(worthByQueue).forEach((queue) => {
         const { earned, owed } = weigh(world, load, queue);
--- a/packages/dispatch/src/JobRun.ts
+++ b/packages/dispatch/src/JobRun.ts
@@ -1,5 +1,6 @@
 import type { JobSpecification, Queue } from './Job.js';
 import { isFinal, JobState } from './Job.js';
+import { StepPace } from './RunnerPace.js';
 import { createMember, Unit, UnitPhase } from './Unit.js';
 
 /** What is left of one step, all occurrences together. */
@@ -18,6 +19,9 @@
 
   public readonly units = new Map<string, Unit>();
 
+  /** By step. */
+  public readonly paces: readonly StepPace[];
+
   /** Occurrences whose units exist. */
   public createdOccurrences = 0;
 
@@ -48,7 +52,9 @@
     public queue: Queue,
     /** Monotonic time at which the job was accepted, as far as clocks agree. */
     public readonly arrivedAt: number,
-  ) {}
+  ) {
+    this.paces = specification.steps.map(() => new StepPace());
+  }
 
   public get id(): string {
     return this.specification.id;
--- a/packages/dispatch/src/PlacementSearch.ts
+++ b/packages/dispatch/src/PlacementSearch.ts
@@ -40,18 +40,29 @@
   }
 
   private findInOneRack(unit: Unit): Placement | undefined {
+    const isUrgent = unit.job.queue.priority === 0;
     let best: Placement | undefined;
+    let leastSlow = Infinity;
     let leastLeft = Infinity;
     this.ledger.byRack.forEach((rooms) => {
       const placement = findWithin(unit, rooms);
+      if (placement === undefined) {
+        return;
+      }
       const left = rooms.reduce((sum, { free }) => sum + free.accelerators, 0);
-      if (placement !== undefined && left < leastLeft) {
+      const slow = isUrgent && this.hasSlow(placement) ? 1 : 0;
+      if (slow < leastSlow || (slow === leastSlow && left < leastLeft)) {
         best = placement;
+        leastSlow = slow;
         leastLeft = left;
       }
     });
     return best;
   }
+
+  private hasSlow(placement: Placement): boolean {
+    return [...placement.keys()].some((id) => this.ledger.runner(id)?.pace.isSlow === true);
+  }
 }
 
 // Runners where the unit failed are left out while it fits elsewhere: it has few attempts.
@@ -64,11 +75,12 @@
 }
 
 function placeWithin(unit: Unit, rooms: readonly RunnerRoom[]): Placement | undefined {
+  const isUrgent = unit.job.queue.priority === 0;
   const candidates = rooms
     .filter(({ runner }) => isEligible(unit, runner))
     .map((room) => ({ room, places: countPlaces(unit, room.runner, room.free) }))
     .filter(({ places }) => places > 0)
-    .sort(compareCandidates);
+    .sort(isUrgent ? compareForUrgent : compareForOthers);
   const placement = new Map<string, number>();
   let missing = unit.members.length;
   for (const { room, places } of candidates) {
@@ -82,8 +94,21 @@
   return undefined;
 }
 
+// Urgent work has little time to lose on slow runners, and other work leaves it the fast ones.
+function compareForUrgent(left: Candidate, right: Candidate): number {
+  return slowRank(left) - slowRank(right) || compareFullness(left, right);
+}
+
+function compareForOthers(left: Candidate, right: Candidate): number {
+  return slowRank(right) - slowRank(left) || compareFullness(left, right);
+}
+
+function slowRank({ room }: Candidate): number {
+  return room.runner.pace.isSlow ? 1 : 0;
+}
+
 // The fullest runner comes first.
-function compareCandidates(left: Candidate, right: Candidate): number {
+function compareFullness(left: Candidate, right: Candidate): number {
   return (
     left.room.free.accelerators - right.room.free.accelerators ||
     left.room.free.cpu - right.room.free.cpu
--- a/packages/dispatch/src/ReportReader.ts
+++ b/packages/dispatch/src/ReportReader.ts
@@ -35,6 +35,8 @@
   readonly ended: readonly EndedTask[];
 }
 
+const wholePercent = 100;
+
 /** Takes the reports of runners into the state. */
 export class ReportReader {
   public constructor(
@@ -110,6 +112,7 @@
       return;
     }
     readProgress(occupant, running, now);
+    notePace(runner, occupant, now);
     if (occupant.member.state === MemberState.ordered) {
       this.lifecycle.confirmMember(occupant.unit, occupant.member, now);
     }
@@ -126,3 +129,28 @@
     member.progressedAt = now;
   }
 }
+
+/** Percent between which progress tells how long the whole task will take. */
+const tellingPercent = { from: 20, to: 99 };
+
+function notePace(runner: Runner, { unit, member }: Occupant, now: number): void {
+  const { step } = unit;
+  const isTelling =
+    !member.isPaceNoted &&
+    unit.phase === UnitPhase.running &&
+    !unit.isResumed &&
+    !step.isLasting &&
+    !step.usesLeftover &&
+    member.percent >= tellingPercent.from &&
+    member.percent <= tellingPercent.to &&
+    (step.dataRack === undefined || step.dataRack === runner.listed.rack);
+  if (!isTelling) {
+    return;
+  }
+  member.isPaceNoted = true;
+  const wholeMs = ((now - unit.startedAt) * wholePercent) / member.percent;
+  const off = unit.job.paces[unit.stepIndex]?.compare(wholeMs);
+  if (off !== undefined) {
+    runner.pace.note(off);
+  }
+}
--- a/packages/dispatch/src/RoomLedger.ts
+++ b/packages/dispatch/src/RoomLedger.ts
@@ -42,6 +42,10 @@
     return this.list;
   }
 
+  public runner(id: string): Runner | undefined {
+    return this.rooms.get(id)?.runner;
+  }
+
   public get byRack(): ReadonlyMap<string, readonly RunnerRoom[]> {
     return this.racks;
   }
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -1,6 +1,7 @@
 import type { DispatchBounds } from './DispatchState.js';
 import type { Resources } from './Resources.js';
 import { add, clampToZero, noResources, subtract } from './Resources.js';
+import { RunnerPace } from './RunnerPace.js';
 import type { Member, Unit } from './Unit.js';
 import { MemberState, UnitPhase } from './Unit.js';
 
@@ -70,6 +71,8 @@
   /** Units whose runs failed here since the last success. */
   public readonly failedJobs = new Set<string>();
 
+  public readonly pace = new RunnerPace();
+
   public constructor(public listed: ListedRunner) {}
 
   public get id(): string {
--- a/packages/dispatch/src/Unit.ts
+++ b/packages/dispatch/src/Unit.ts
@@ -50,6 +50,8 @@
   percent: number;
   /** Monotonic time at which `percent` last changed. */
   progressedAt: number;
+  /** Whether its progress in this run has told of the pace of its runner. */
+  isPaceNoted: boolean;
 }
 
 /** What starts and ends together: a whole gang, or a single task. */
@@ -68,6 +70,9 @@
   /** Progress to resume from; empty: none. */
   public saved = '';
 
+  /** Whether the current run resumed saved progress. */
+  public isResumed = false;
+
   /** Monotonic time at which the current run began; 0 while none runs. */
   public startedAt = 0;
 
@@ -149,5 +154,6 @@
     isStopOrdered: false,
     percent: 0,
     progressedAt: 0,
+    isPaceNoted: false,
   };
 }
--- a/packages/dispatch/src/UnitLifecycle.ts
+++ b/packages/dispatch/src/UnitLifecycle.ts
@@ -65,6 +65,7 @@
     unit.startedAt = 0;
     unit.savedAt = now;
     unit.hasFailedInRun = false;
+    unit.isResumed = unit.saved !== '';
     const runnerIds = [...placement].flatMap(([runnerId, count]) =>
       Array.from({ length: count }, () => runnerId),
     );
@@ -307,6 +308,7 @@
   member.settledAt = Infinity;
   member.isStopOrdered = false;
   member.percent = 0;
+  member.isPaceNoted = false;
   runner.addOccupant({ unit, member, run: unit.run });
 }
 
--- a/packages/testing/src/ReplayWorld.ts
+++ b/packages/testing/src/ReplayWorld.ts
@@ -1,3 +1,4 @@
+import { Random } from '@apricothoist/common';
 import type {
   DecisionLog,
   DispatchBounds,
@@ -33,15 +34,29 @@
   endedAt: number;
 }
 
+/** What makes runners and tasks differ. */
+export interface ReplayVariety {
+  /** Every so many runners one is slow; 0: none. */
+  readonly slowEvery: number;
+  /** Multiple of the time that a task takes on a slow runner. */
+  readonly slowFactor: number;
+  /** Share by which the tasks of a step differ in duration. */
+  readonly unevenness: number;
+}
+
 interface VirtualTask {
   readonly order: StartOrder;
   readonly size: Step['size'];
+  /** When its own work is through; a gang waits for its last member. */
+  throughAt: number;
   endsAt: number;
   stoppedBy: number;
   startedAt: number;
 }
 
 interface VirtualRunner {
+  /** Multiple of the time that tasks take here. */
+  readonly factor: number;
   readonly listed: ListedRunner;
   readonly tasks: Map<string, VirtualTask>;
   ended: EndedTask[];
@@ -55,6 +70,7 @@
   farSlowdown: 3,
 };
 const tickMs = 20;
+const even: ReplayVariety = { slowEvery: 0, slowFactor: 1, unevenness: 0 };
 const msPerSecond = 1_000;
 const coresPerAccelerator = 8;
 
@@ -134,6 +150,10 @@
 
   public now = 1_000;
 
+  private readonly variety: ReplayVariety;
+
+  private readonly random = new Random(1);
+
   private readonly runners = new Map<string, VirtualRunner>();
 
   private readonly durations = new Map<string, number>();
@@ -142,14 +162,18 @@
 
   private readonly listeners: ((order: StartOrder) => StartOutcome | undefined)[] = [];
 
-  public constructor(racks: number, runnersPerRack: number, policy = defaultPolicy) {
+  public constructor(racks: number, runnersPerRack: number, policy = defaultPolicy, variety = even) {
     const decide: DecisionLog['decide'] = (kind, fields) => {
       this.decisions.push({ kind, fields: { ...fields } });
     };
+    this.variety = variety;
     this.dispatcher = new Dispatcher(replayBounds, { decide }, policy);
     for (let rack = 0; rack < racks; rack += 1) {
       for (let index = 0; index < runnersPerRack; index += 1) {
-        this.addRunner(`rack-${rack}`, `runner-${rack}-${index}`);
+        const number = rack * runnersPerRack + index;
+        const isSlow = variety.slowEvery > 0 && number % variety.slowEvery === 0;
+        const factor = isSlow ? variety.slowFactor : 1;
+        this.addRunner(`rack-${rack}`, `runner-${rack}-${index}`, factor);
       }
     }
     const queues = new Map(Object.values(replayQueues).map((queue) => [queue.name, queue]));
@@ -199,6 +223,7 @@
       this.dispatcher.takeDirty();
       stops.forEach(({ runnerId, task, run }) => this.stop(runnerId, `${task}#${run}`));
       starts.forEach((order) => this.start(order));
+      this.joinGangs(starts);
       this.track();
       this.now += tickMs;
     }
@@ -209,8 +234,9 @@
     return [...(this.runners.get(runnerId)?.tasks.keys() ?? [])];
   }
 
-  private addRunner(rack: string, id: string): void {
+  private addRunner(rack: string, id: string, factor: number): void {
     this.runners.set(id, {
+      factor,
       listed: {
         id,
         address: id,
@@ -241,11 +267,11 @@
         this.endTask(runner, key, task, RunEnd.done);
       }
     });
-    const running = [...runner.tasks.values()].map(({ order, startedAt, endsAt }): RunningTask => ({
+    const running = [...runner.tasks.values()].map(({ order, startedAt, throughAt }): RunningTask => ({
       task: order.task,
       run: order.run,
       saved: '',
-      percent: (100 * (this.now - startedAt)) / (endsAt - startedAt),
+      percent: Math.min(100, (100 * (this.now - startedAt)) / (throughAt - startedAt)),
     }));
     this.dispatcher.noteLease(runner.listed.id, this.now);
     const report = { bornAt: 1, askedAt: this.now - 1, running, ended: runner.ended };
@@ -295,17 +321,37 @@
       this.refusedStarts += 1;
       return StartOutcome.noRoom;
     }
-    const leftMs = Math.max(0, (this.durations.get(order.jobId) ?? 0) - Number(order.saved || 0));
+    const wholeMs = (this.durations.get(order.jobId) ?? 0) * runner.factor;
+    const ownMs = wholeMs * this.random.jitter(1, this.variety.unevenness);
+    const throughAt = this.now + Math.max(0, ownMs - Number(order.saved || 0));
     runner.tasks.set(`${order.task}#${order.run}`, {
       order,
       size,
       startedAt: this.now,
-      endsAt: this.now + leftMs,
+      throughAt,
+      endsAt: throughAt,
       stoppedBy: Infinity,
     });
     return StartOutcome.started;
   }
 
+  // Members of a gang end together.
+  private joinGangs(starts: readonly StartOrder[]): void {
+    const gangs = new Map<string, VirtualTask[]>();
+    starts.forEach(({ runnerId, jobId, task, run }) => {
+      const stepIndex = Number(task.split('.')[2]);
+      const started = this.runners.get(runnerId)?.tasks.get(`${task}#${run}`);
+      if (started !== undefined && this.specifications.get(jobId)?.steps[stepIndex]?.isGang) {
+        const key = `${jobId}.${stepIndex}`;
+        gangs.set(key, [...(gangs.get(key) ?? []), started]);
+      }
+    });
+    gangs.forEach((members) => {
+      const endsAt = Math.max(...members.map(({ throughAt }) => throughAt));
+      members.forEach((member) => Object.assign(member, { endsAt }));
+    });
+  }
+
   private stop(runnerId: string, key: string): void {
     const task = this.runners.get(runnerId)?.tasks.get(key);
     if (task !== undefined) {
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -32,4 +32,4 @@
   sceneQueue,
   sceneStep,
 } from './DispatchScene.js';
-export type { Arrival, ReplayedJob } from './ReplayWorld.js';
+export type { Arrival, ReplayedJob, ReplayVariety } from './ReplayWorld.js';
