--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -145,7 +145,7 @@
       (victim) => this.mayStop(victim, rank),
       maxCost,
     );
-    const found = search.find(unit);
+    const found = search.find(unit, !this.couldFitNear(unit));
     if (found === undefined) {
       unit.searchAt = this.now + searchAgainMs;
       return false;
--- a/packages/dispatch/src/VictimSearch.ts
+++ b/packages/dispatch/src/VictimSearch.ts
@@ -55,23 +55,38 @@
     private readonly maxCost: number,
   ) {}
 
-  public find(unit: Unit): Reclaim | undefined {
+  /**
+   * @param mayLeaveRack whether members may also run away from the rack of their data, or spread
+   *   over racks, where they are slower
+   */
+  public find(unit: Unit, mayLeaveRack: boolean): Reclaim | undefined {
+    const fast = ({ runner }: RunnerRoom): boolean => !runner.pace.isSlow;
+    return this.findAmong(unit, mayLeaveRack, fast) ?? this.findAmong(unit, mayLeaveRack);
+  }
+
+  private findAmong(
+    unit: Unit,
+    mayLeaveRack: boolean,
+    isWanted: (room: RunnerRoom) => boolean = () => true,
+  ): Reclaim | undefined {
     const { dataRack, prefersOneRack } = unit.step;
-    const nearest = dataRack === undefined ? undefined : this.ledger.byRack.get(dataRack);
-    const near = nearest === undefined ? undefined : this.searchWithin(unit, nearest);
-    if (near !== undefined) {
-      return near.reclaim;
+    const { byRack, all } = this.ledger;
+    if (dataRack !== undefined) {
+      const near = this.searchWithin(unit, (byRack.get(dataRack) ?? []).filter(isWanted));
+      if (near !== undefined || !mayLeaveRack) {
+        return near?.reclaim;
+      }
     }
     if (prefersOneRack && unit.members.length > 1) {
-      const searches = [...this.ledger.byRack.values()]
-        .map((rooms) => this.searchWithin(unit, rooms))
+      const [first, ...others] = [...byRack.values()]
+        .map((rooms) => this.searchWithin(unit, rooms.filter(isWanted)))
         .filter((search) => search !== undefined);
-      const [first, ...others] = searches;
-      if (first !== undefined) {
-        return others.reduce((best, next) => (next.cost < best.cost ? next : best), first).reclaim;
+      if (first !== undefined || !mayLeaveRack) {
+        return others.reduce((best, next) => (next.cost < (best?.cost ?? 0) ? next : best), first)
+          ?.reclaim;
       }
     }
-    return this.searchWithin(unit, this.ledger.all)?.reclaim;
+    return this.searchWithin(unit, all.filter(isWanted))?.reclaim;
   }
 
   private searchWithin(unit: Unit, rooms: readonly RunnerRoom[]): Search | undefined {
