--- a/eslint.config.js
+++ b/eslint.config.js
@@ -25,6 +25,7 @@
     'examples',
     'testing',
     'demo',
+    'dispatch',
   ],
   soak: ['common', 'testing'],
   faults: ['common', 'config', 'platform', 'mesh', 'router', 'scheduler', 'daemon', 'testing'],
--- a/packages/bench/src/dispatch/dispatchBench.ts
+++ b/packages/bench/src/dispatch/dispatchBench.ts
@@ -28,8 +28,7 @@
 
 function workOf(arrival: Arrival): number {
   return arrival.steps.reduce((sum, { count = 1, size }) => {
-    const cores =
-      (size?.cpu ?? 0) / msPerSecond + (size?.accelerators ?? 0) * coresPerAccelerator;
+    const cores = (size?.cpu ?? 0) / msPerSecond + (size?.accelerators ?? 0) * coresPerAccelerator;
     return sum + (count * cores * arrival.durationMs) / msPerSecond;
   }, 0);
 }
@@ -96,7 +95,9 @@
       sums.wasted += world.wastedCoreSeconds;
       steps.push(...world.stepMs);
     });
-    const queueShares = Object.values(byQueue).map(({ earned, owed }) => (earned / owed).toFixed(3));
+    const queueShares = Object.values(byQueue).map(({ earned, owed }) =>
+      (earned / owed).toFixed(3),
+    );
     const waste = (sums.wasted * wastePrice) / sums.owed;
     return [
       `${factor}x`,
--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -76,7 +76,9 @@
   const { remainders } = job;
   return job.specification.steps.reduce((work, step, index) => {
     const durationMs = estimates.estimate(job.queue.name, step);
-    return work + ((remainders[index]?.tasks ?? 0) * coresOf(roomOf(step)) * durationMs) / msPerSecond;
+    return (
+      work + ((remainders[index]?.tasks ?? 0) * coresOf(roomOf(step)) * durationMs) / msPerSecond
+    );
   }, 0);
 }
 
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -75,12 +75,15 @@
   readonly lostWorkRatio: number;
   /** Core-seconds that even the smallest urgent job may stop; the users give each job a base worth. */
   readonly lostWorkBase: number;
+  /** Whether runners are told apart by their pace, so that urgent work gets the fast ones. */
+  readonly learnsPace: boolean;
 }
 
 export const defaultPolicy: DispatchPolicy = {
   headroomShare: 0.35,
   lostWorkRatio: 4,
   lostWorkBase: 400,
+  learnsPace: true,
 };
 
 /** Everything that the scheduling instance believes. */
--- a/packages/dispatch/src/DurationEstimates.ts
+++ b/packages/dispatch/src/DurationEstimates.ts
@@ -49,7 +49,8 @@
     const actualOff = actual - observed.meanActual;
     observed.meanActual += weight * actualOff;
     observed.meanDeclared += weight * declaredOff;
-    observed.declaredVariance += weight * (declaredOff ** 2 * (1 - weight) - observed.declaredVariance);
+    observed.declaredVariance +=
+      weight * (declaredOff ** 2 * (1 - weight) - observed.declaredVariance);
     observed.covariance += weight * (declaredOff * actualOff * (1 - weight) - observed.covariance);
   }
 
--- a/packages/dispatch/src/ReportReader.ts
+++ b/packages/dispatch/src/ReportReader.ts
@@ -112,7 +112,9 @@
       return;
     }
     readProgress(occupant, running, now);
-    notePace(runner, occupant, now);
+    if (this.state.policy.learnsPace) {
+      notePace(runner, occupant, now);
+    }
     if (occupant.member.state === MemberState.ordered) {
       this.lifecycle.confirmMember(occupant.unit, occupant.member, now);
     }
--- a/packages/dispatch/src/loadPatterns.test.ts
+++ b/packages/dispatch/src/loadPatterns.test.ts
@@ -1,7 +1,9 @@
-import { generateLoad, ReplayWorld } from '@apricothoist/testing';
+import type { Arrival } from '@apricothoist/testing';
+import { generateLoad, grownLoad, replayQueues, ReplayWorld } from '@apricothoist/testing';
 import test from 'ava';
 
 import { defaultPolicy } from './DispatchState.js';
+import type { Queue } from './Job.js';
 
 /** Jobs of a queue in a world, and how many of them were done within `withinMs`. */
 function servedShare(world: ReplayWorld, queue: string, withinMs: number): number {
@@ -48,6 +50,31 @@
   });
 });
 
+/** Share of the urgent jobs that end within their own objective, from a load in order of arrival. */
+function urgentInTime(world: ReplayWorld, load: readonly Arrival[]): number {
+  const jobs = [...world.jobs.values()];
+  const { stretch, targetMs } = replayQueues.urgent as Queue;
+  const inTime = load.map((arrival, index) => {
+    const job = jobs[index];
+    const tookMs = (job?.endedAt ?? Infinity) - (job?.arrivedAt ?? 0);
+    return job?.state === 'completed' && tookMs <= stretch * arrival.durationMs + targetMs;
+  });
+  const urgent = inTime.filter((_, index) => load[index]?.queue === 'urgent');
+  return urgent.filter(Boolean).length / urgent.length;
+}
+
+test('runners of two speeds: urgent gangs get the fast ones, and more of them are in time', (t) => {
+  const variety = { slowEvery: 3, slowFactor: 1.3, unevenness: 0.15 };
+  const shares = [false, true].map((learnsPace) => {
+    const load = generateLoad(3, lastsMs, 0.35, grownLoad).sort((one, two) => one.at - two.at);
+    const world = new ReplayWorld(8, 8, { ...defaultPolicy, learnsPace }, variety);
+    world.play(playMs, load);
+    return urgentInTime(world, load);
+  });
+  const [plain = 1, learned = 0] = shares;
+  t.true(learned > plain + 0.1, `${learned} against ${plain}`);
+});
+
 test('light load: nothing waits and nothing is thrown away', (t) => {
   const world = new ReplayWorld(6, 6);
   world.play(playMs, generateLoad(5, lastsMs, 0.3));
--- a/packages/instance/src/BoardNews.test.ts
+++ b/packages/instance/src/BoardNews.test.ts
@@ -41,7 +41,10 @@
 test('an outlook that hardly changed is not sent again', (t) => {
   const news = new BoardNews();
   t.is(news.take(0, describe)?.queues.length, 1);
-  t.is(news.take(500, () => new Map([['queue', { ...outlook, backlogMs: 980 }]]))?.queues.length, 0);
+  t.is(
+    news.take(500, () => new Map([['queue', { ...outlook, backlogMs: 980 }]]))?.queues.length,
+    0,
+  );
   t.is(news.take(1_000, () => new Map([['queue', { ...outlook, pending: 2 }]]))?.queues.length, 1);
 });
 
--- a/packages/instance/src/BoardNews.ts
+++ b/packages/instance/src/BoardNews.ts
@@ -2,6 +2,9 @@
 
 import type { BoardUpdate } from './JobBoard.js';
 
+/** News of jobs and queues; the instance adds what it knows of others. */
+export type JobNews = Omit<BoardUpdate, 'strongestCores'>;
+
 /**
  * Milliseconds between two updates with changed states: every one costs a frame for each follower,
  * and states have to be visible within three seconds.
@@ -39,10 +42,7 @@
    *
    * @param describe gives the outlook of every queue
    */
-  public take(
-    now: number,
-    describe: () => ReadonlyMap<string, QueueOutlook>,
-  ): BoardUpdate | undefined {
+  public take(now: number, describe: () => ReadonlyMap<string, QueueOutlook>): JobNews | undefined {
     const hasChanges = this.states.size > 0 || this.forgotten.length > 0;
     if (now - this.toldAt < (hasChanges ? tellEveryMs : silentMs)) {
       return undefined;
--- a/packages/instance/src/Election.ts
+++ b/packages/instance/src/Election.ts
@@ -17,6 +17,9 @@
 /** Milliseconds between looks at the key while another instance holds it. */
 const lookEveryMs = 400;
 
+/** Milliseconds for which an instance that handed over leaves the key alone: some looks of others. */
+const standBackMs = 1_500;
+
 /** Right to schedule, for a while. */
 export interface Tenure {
   /** Higher than that of every former holder. */
@@ -59,6 +62,8 @@
   /** Monotonic milliseconds until which the lease is relied on. */
   private heldUntil = 0;
 
+  private standBackUntil = -Infinity;
+
   private isStopped = false;
 
   private loop: Promise<void> | undefined;
@@ -70,8 +75,8 @@
     private readonly self: HolderRecord,
     /** Whether the holder is heard, so that the key need not be looked at. */
     private readonly hearsHolder: () => boolean,
-    /** Milliseconds that this instance leaves to better suited ones before it takes a free key. */
-    private readonly handicapMs: number,
+    /** Milliseconds that this instance leaves to stronger ones before it takes a free key. */
+    private readonly pauseMs: () => number,
   ) {}
 
   /** Token while the lease can be relied on at this moment. */
@@ -83,6 +88,14 @@
     this.loop = this.run();
   }
 
+  /** Gives the key to another instance, and does not try to take it back for a while. */
+  public async handOver(reason: string): Promise<void> {
+    const { lease } = this;
+    this.standBackUntil = this.clock.monotonic() + standBackMs;
+    this.resign(reason);
+    await this.store.endLease(lease, this.clock.monotonic() + StorePace.callMs);
+  }
+
   /** Gives up at once, after a runner or the store has told of a successor. */
   public resign(reason: string): void {
     if (this.tenure !== undefined) {
@@ -97,7 +110,7 @@
     while (!this.isStopped) {
       if (this.tenure !== undefined) {
         await this.renew();
-      } else if (this.hearsHolder()) {
+      } else if (this.hearsHolder() || this.clock.monotonic() < this.standBackUntil) {
         await delay(lookEveryMs);
       } else {
         await this.look();
@@ -147,12 +160,25 @@
       await delay(this.random.jitter(lookEveryMs / 2, StorePace.retrySpread));
       return;
     }
-    await delay(this.random.fraction() * StorePace.retryMs + this.handicapMs);
+    await delay(this.random.fraction() * StorePace.retryMs + this.pauseMs());
+    if (await this.isTaken()) {
+      return;
+    }
     if (!this.isStopped) {
       await this.acquire();
     }
   }
 
+  // Whether a stronger instance has taken the key meanwhile.
+  private async isTaken(): Promise<boolean> {
+    if (this.pauseMs() === 0) {
+      return false;
+    }
+    const deadline = this.clock.monotonic() + StorePace.callMs;
+    const found = await this.store.read(StoreKeys.holder, deadline);
+    return found.isErr() || found.value !== undefined;
+  }
+
   private async acquire(): Promise<void> {
     const askedAt = this.clock.monotonic();
     const lease = await this.store.grantLease(leaseMs, askedAt + StorePace.callMs);
--- a/packages/instance/src/FeedClient.ts
+++ b/packages/instance/src/FeedClient.ts
@@ -4,6 +4,7 @@
 import { WebSocket } from 'ws';
 
 import type { HolderLocation } from './Election.js';
+import { feedUrl } from './feedAddress.js';
 import type { BoardUpdate, JobBoard } from './JobBoard.js';
 
 /** Milliseconds for the connection; a silent address costs this much. */
@@ -30,6 +31,8 @@
   public constructor(
     private readonly board: JobBoard,
     private readonly clock: Clock,
+    /** Processing power of this instance in cores. */
+    private readonly cores: number,
   ) {
     this.timer = setInterval(() => this.check(), checkEveryMs);
   }
@@ -43,7 +46,7 @@
     if (this.socket !== undefined) {
       return;
     }
-    const socket = new WebSocket(`ws://${location.feedAddress}/`, {
+    const socket = new WebSocket(feedUrl(location.feedAddress, this.cores), {
       handshakeTimeout: connectMs,
       perMessageDeflate: false,
     });
--- a/packages/instance/src/FeedServer.ts
+++ b/packages/instance/src/FeedServer.ts
@@ -1,9 +1,10 @@
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import { createServer } from 'node:http';
 
 import { pack } from 'msgpackr';
 import { WebSocket, WebSocketServer } from 'ws';
 
+import { followerCores } from './feedAddress.js';
 import type { BoardUpdate, JobBoard } from './JobBoard.js';
 
 /** Bytes waiting for a follower beyond which it is cut off; it connects again for a snapshot. */
@@ -17,13 +18,15 @@
 
   private readonly sockets = new WebSocketServer({ server: this.http, perMessageDeflate: false });
 
+  private readonly coresBySocket = new Map<WebSocket, number>();
+
   private isOpen = false;
 
   public constructor(
     private readonly board: JobBoard,
     private readonly onError: (error: unknown) => void,
   ) {
-    this.sockets.on('connection', (socket) => this.accept(socket));
+    this.sockets.on('connection', (socket, request) => this.accept(socket, request));
     this.sockets.on('error', onError);
     this.http.on('error', onError);
   }
@@ -32,6 +35,11 @@
     return this.sockets.clients.size;
   }
 
+  /** Cores of the strongest follower; 0: none. */
+  public get strongestCores(): number {
+    return Math.max(0, ...this.coresBySocket.values());
+  }
+
   public listen(host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this.http.once('error', reject);
@@ -64,13 +72,15 @@
     });
   }
 
-  private accept(socket: WebSocket): void {
+  private accept(socket: WebSocket, request: IncomingMessage): void {
     socket.on('error', this.onError);
     // A snapshot would make old knowledge look new to the follower.
     if (!this.isOpen || !this.board.isFresh) {
       socket.terminate();
       return;
     }
+    this.coresBySocket.set(socket, followerCores(request.url));
+    socket.on('close', () => this.coresBySocket.delete(socket));
     socket.send(pack(this.board.snapshot()));
   }
 
--- a/packages/instance/src/JobBoard.ts
+++ b/packages/instance/src/JobBoard.ts
@@ -6,6 +6,8 @@
   /** Whether this holds all jobs and queues, or only those that changed. */
   readonly isWhole: boolean;
   readonly states: readonly (readonly [id: string, state: JobState])[];
+  /** Cores of the strongest instance, the scheduling one included; 0: not known. */
+  readonly strongestCores: number;
   /** Jobs whose records are deleted. */
   readonly forgotten: readonly string[];
   readonly queues: readonly (readonly [queue: string, outlook: QueueOutlook])[];
@@ -22,6 +24,9 @@
 
   private heardAt = -Infinity;
 
+  /** Cores of the strongest instance as last told; 0: not known. */
+  public strongestCores = 0;
+
   public constructor(private readonly clock: Clock) {}
 
   /** Whether the news is recent. */
@@ -47,7 +52,13 @@
   }
 
   public snapshot(): BoardUpdate {
-    return { isWhole: true, states: [...this.states], forgotten: [], queues: [...this.queues] };
+    return {
+      isWhole: true,
+      states: [...this.states],
+      forgotten: [],
+      queues: [...this.queues],
+      strongestCores: this.strongestCores,
+    };
   }
 
   public apply(update: BoardUpdate): void {
@@ -58,6 +69,7 @@
     update.states.forEach(([id, state]) => this.states.set(id, state));
     update.forgotten.forEach((id) => this.states.delete(id));
     update.queues.forEach(([queue, outlook]) => this.queues.set(queue, outlook));
+    this.strongestCores = update.strongestCores;
     this.heardAt = this.clock.monotonic();
   }
 }
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -4,6 +4,8 @@
 import type { EventLog } from '@apricothoist/telemetry';
 import type { Result } from 'neverthrow';
 
+import type { JobNews } from './BoardNews.js';
+import { candidacyPauseMs, HandOver } from './Candidacy.js';
 import { ConfigurationFollower } from './ConfigurationFollower.js';
 import type { CoordinationStore } from './CoordinationStore.js';
 import type { Tenure } from './Election.js';
@@ -24,8 +26,8 @@
   /** Address for followers of this instance, free for its own use. */
   readonly feedHost: string;
   readonly feedPort: number;
-  /** Milliseconds that this instance leaves to better suited ones before it schedules. */
-  readonly handicapMs: number;
+  /** Processing power in cores; stronger instances schedule. */
+  readonly cores: number;
   /** Milliseconds after which a key that was taken away must not work any more. */
   readonly revokeMs: number;
   readonly bounds: DispatchBounds;
@@ -68,6 +70,12 @@
 
   private scheduling: Scheduling | undefined;
 
+  private readonly handOver: HandOver;
+
+  private readonly onError = (error: unknown): void => {
+    this.services.log.emit(JobEvents.unexpectedError, { message: String(error) });
+  };
+
   private isStopping = false;
 
   private isStoreLost = false;
@@ -78,7 +86,8 @@
     private readonly settings: InstanceSettings,
     private readonly services: InstanceServices,
   ) {
-    const { store, clock, random, log } = services;
+    const { store, clock, random } = services;
+    this.handOver = new HandOver(settings.cores);
     this.board = new JobBoard(clock);
     this.jobs = new JobService(store, this.board, clock, () => this.isStoreLost);
     this.configurations = this.owned.register(
@@ -90,15 +99,19 @@
         services.decodeConfiguration,
       ),
     );
-    const onError = (error: unknown): void => {
-      log.emit(JobEvents.unexpectedError, { message: String(error) });
-    };
-    this.feedServer = this.owned.register(new FeedServer(this.board, onError));
-    this.feedClient = this.owned.register(new FeedClient(this.board, clock));
-    const { name, feedHost, feedPort, handicapMs } = settings;
+    this.feedServer = this.owned.register(new FeedServer(this.board, this.onError));
+    this.feedClient = this.owned.register(new FeedClient(this.board, clock, settings.cores));
+    const { name, feedHost, feedPort, cores } = settings;
     const self = { instance: name, feedAddress: `${feedHost}:${feedPort}` };
     this.election = this.owned.register(
-      new Election(store, clock, random, self, () => this.feedClient.isActive, handicapMs),
+      new Election(
+        store,
+        clock,
+        random,
+        self,
+        () => this.feedClient.isActive,
+        () => candidacyPauseMs(cores, this.board.strongestCores),
+      ),
     );
     this.follow();
   }
@@ -193,11 +206,7 @@
         bounds: this.settings.bounds,
         token: () => this.election.token,
         resign: (reason) => this.election.resign(reason),
-        publish: (update) => {
-          this.board.apply(update);
-          this.feedServer.open();
-          this.feedServer.publish(update);
-        },
+        publish: (news) => this.publish(news),
       },
       tenure.token,
       this.configurations.current,
@@ -205,6 +214,18 @@
     this.scheduling.start();
   }
 
+  private publish(news: JobNews): void {
+    const followerCores = this.feedServer.strongestCores;
+    const strongestCores = Math.max(this.settings.cores, followerCores);
+    const update = { ...news, strongestCores };
+    this.board.apply(update);
+    this.feedServer.open();
+    this.feedServer.publish(update);
+    if (this.handOver.isDue(followerCores, this.services.clock.monotonic())) {
+      this.election.handOver(`an instance of ${followerCores} cores follows`).catch(this.onError);
+    }
+  }
+
   private endScheduling(reason: string): void {
     this.services.log.emit(JobEvents.holderLost, { reason });
     this.scheduling?.[Symbol.dispose]();
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -1,14 +1,14 @@
 import type { Clock, Random } from '@apricothoist/common';
 import { delay, messageOf } from '@apricothoist/common';
-import type { DispatchBounds, JobRun, ListedRunner, Runner } from '@apricothoist/dispatch';
+import type { DispatchBounds, ListedRunner, Runner } from '@apricothoist/dispatch';
 import { Dispatcher } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
 import type { Result } from 'neverthrow';
 
+import type { JobNews } from './BoardNews.js';
 import { BoardNews } from './BoardNews.js';
 import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
-import type { BoardUpdate } from './JobBoard.js';
 import { JobIntake } from './JobIntake.js';
 import { StoreKeys } from './keys.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
@@ -49,7 +49,7 @@
   /** Token while the lease can be relied on. */
   readonly token: () => number | undefined;
   readonly resign: (reason: string) => void;
-  readonly publish: (update: BoardUpdate) => void;
+  readonly publish: (news: JobNews) => void;
 }
 
 /**
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -179,8 +179,14 @@
   t.true(store.deleted.includes(StoreKeys.progress(specification.id)));
   const board = new JobBoard(new SystemClock());
   const states = [[specification.id, JobState.cancelled]] as const;
-  board.apply({ isWhole: true, states, forgotten: [], queues: [] });
-  board.apply({ isWhole: false, states: [], forgotten: [specification.id], queues: [] });
+  board.apply({ isWhole: true, states, forgotten: [], queues: [], strongestCores: 0 });
+  board.apply({
+    isWhole: false,
+    states: [],
+    forgotten: [specification.id],
+    queues: [],
+    strongestCores: 0,
+  });
   t.is(board.stateOf(specification.id), undefined);
 });
 
@@ -251,7 +257,13 @@
   const clock = new SystemClock();
   const board = new JobBoard(clock);
   const outlook = { pending: 9, backlogMs: 90_000, durationMs: 1_000, largestRunner: 8 };
-  board.apply({ isWhole: true, states: [], forgotten: [], queues: [[queue.name, outlook]] });
+  board.apply({
+    isWhole: true,
+    states: [],
+    forgotten: [],
+    queues: [[queue.name, outlook]],
+    strongestCores: 0,
+  });
   const empty = new JobService(new ScriptedStore(() => committed), board, clock, isReached);
   const deadline = clock.monotonic() + 500;
   const answer = await empty.submit(specification, queue, deadline);
@@ -269,7 +281,7 @@
 test('a job that the board does not know is looked up before it counts as absent', async (t) => {
   const clock = new SystemClock();
   const board = new JobBoard(clock);
-  board.apply({ isWhole: true, states: [], forgotten: [], queues: [] });
+  board.apply({ isWhole: true, states: [], forgotten: [], queues: [], strongestCores: 0 });
   const service = new JobService(
     storeWithJob(() => committed),
     board,
--- a/packages/testing/src/ReplayWorld.ts
+++ b/packages/testing/src/ReplayWorld.ts
@@ -162,7 +162,12 @@
 
   private readonly listeners: ((order: StartOrder) => StartOutcome | undefined)[] = [];
 
-  public constructor(racks: number, runnersPerRack: number, policy = defaultPolicy, variety = even) {
+  public constructor(
+    racks: number,
+    runnersPerRack: number,
+    policy = defaultPolicy,
+    variety = even,
+  ) {
     const decide: DecisionLog['decide'] = (kind, fields) => {
       this.decisions.push({ kind, fields: { ...fields } });
     };
@@ -267,12 +272,14 @@
         this.endTask(runner, key, task, RunEnd.done);
       }
     });
-    const running = [...runner.tasks.values()].map(({ order, startedAt, throughAt }): RunningTask => ({
-      task: order.task,
-      run: order.run,
-      saved: '',
-      percent: Math.min(100, (100 * (this.now - startedAt)) / (throughAt - startedAt)),
-    }));
+    const running = [...runner.tasks.values()].map(
+      ({ order, startedAt, throughAt }): RunningTask => ({
+        task: order.task,
+        run: order.run,
+        saved: '',
+        percent: Math.min(100, (100 * (this.now - startedAt)) / (throughAt - startedAt)),
+      }),
+    );
     this.dispatcher.noteLease(runner.listed.id, this.now);
     const report = { bornAt: 1, askedAt: this.now - 1, running, ended: runner.ended };
     this.dispatcher.readReport(runner.listed.id, report, this.now);
