--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -42,7 +42,7 @@
 
   private readonly totalAccelerators: number;
 
-  /** Accelerators that work which cannot be saved leaves to urgent jobs. */
+  /** Accelerators that other work leaves to urgent jobs. */
   private readonly headroom: number;
 
   /** The same for work that can wait. */
@@ -106,8 +106,7 @@
 
   private place(unit: Unit, rank: JobRank): boolean {
     const isOverdue = this.isOverdue(unit);
-    const mayLose = !rank.isUrgent && !unit.step.savesProgress && !isOverdue;
-    if (mayLose && !this.leavesHeadroom(unit, rank)) {
+    if (!rank.isUrgent && !isOverdue && !this.leavesHeadroom(unit, rank)) {
       return false;
     }
     const placement = this.places.find(unit, isOverdue || !this.couldFitNear(unit));
@@ -165,10 +164,8 @@
   }
 
   private stopVictim(victim: Unit): void {
-    if (!victim.step.savesProgress) {
-      const lost = victim.size.accelerators * victim.members.length;
-      this.state.urgentHeadroom.noteLoss(lost, this.now);
-    }
+    const stopped = victim.size.accelerators * victim.members.length;
+    this.state.urgentHeadroom.noteStop(stopped, this.now);
     this.lifecycle.abort(victim, 'reclaimed', this.now);
   }
 
--- a/packages/dispatch/src/UrgentHeadroom.ts
+++ b/packages/dispatch/src/UrgentHeadroom.ts
@@ -1,14 +1,14 @@
-/** Room kept for each accelerator whose work was lost: gangs need whole runners, which narrower work breaks up. */
-const keptPerLost = 2;
+/** Room kept for each accelerator that was taken from other work: gangs need whole runners, which narrower work breaks up. */
+const keptPerStopped = 2;
 /** Milliseconds after which half of the headroom is given back: a few gaps between urgent jobs. */
-const halfLifeMs = 8_000;
+const halfLifeMs = 12_000;
 
 /**
  * Accelerators that are kept free for urgent jobs.
  *
- * Load pattern: urgent jobs come at random, each short but wide. Work that is stopped for them is
- * lost, and costs more than the idle time of the room that it would have used. Each time work is
- * lost, room is kept free; while none is lost, it is given back.
+ * Load pattern: urgent jobs come at random, each short but wide. To stop other work for them takes
+ * a good part of the time that they have, and throws work away; both cost more than the idle time
+ * of the room. Each time work is stopped, room is kept free; while none is, it is given back.
  */
 export class UrgentHeadroom {
   private accelerators = 0;
@@ -22,10 +22,10 @@
     return this.accelerators;
   }
 
-  /** Running work that used so many accelerators was stopped for an urgent job, and is lost. */
-  public noteLoss(accelerators: number, now: number): void {
+  /** Running work that used so many accelerators was stopped for an urgent job. */
+  public noteStop(accelerators: number, now: number): void {
     this.decay(now);
-    this.accelerators += accelerators * keptPerLost;
+    this.accelerators += accelerators * keptPerStopped;
   }
 
   private decay(now: number): void {
