--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -70,7 +70,7 @@
   readonly headroomShare: number;
   /**
    * Most unsaved work that an urgent job may stop, per unit of its own work. The users value urgent
-   * work about four times as high as the work that it stops.
+   * work about four times as high as the work that it stops, and that has to be done again too.
    */
   readonly lostWorkRatio: number;
   /** Core-seconds that even the smallest urgent job may stop; the users give each job a base worth. */
@@ -81,8 +81,8 @@
 
 export const defaultPolicy: DispatchPolicy = {
   headroomShare: 0.35,
-  lostWorkRatio: 4,
-  lostWorkBase: 400,
+  lostWorkRatio: 1.5,
+  lostWorkBase: 300,
   learnsPace: true,
 };
 
