Orders and news are not lost when the lease falls into doubt while progress is stored

Cause: a step ended without sending its starts, and without telling followers the changed states, if the lease was in doubt once its progress was stored; when the lease was confirmed later, units stayed ordered that no runner had heard of. Now the sender reports such starts as not sent, and they are tried again.

--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -239,18 +239,18 @@
       return;
     }
     ends.forEach(({ id, bornAt, end }) => this.storedEnds.set(id, { bornAt, end }));
-    if (this.token === undefined) {
-      return;
-    }
+    this.news.noteStates(changed.map((job) => [job.id, job.state]));
+    // With the lease in doubt the sender reports them as not sent, and they are tried again.
     orders.starts.forEach((order) => this.sender.start(order));
     this.updateLinks();
     const forgotten = this.dispatcher.takeForgotten();
     if (forgotten.length > 0) {
       await this.writer.remove(forgotten);
     }
-    this.news.noteStates(changed.map((job) => [job.id, job.state]));
     this.news.noteForgotten(forgotten);
-    this.tellFollowers();
+    if (this.token !== undefined) {
+      this.tellFollowers();
+    }
   }
 
   private tellFollowers(): void {
