--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -2,9 +2,15 @@
 
 import { delay, Random, SystemClock } from '@apricothoist/common';
 import type { Queue } from '@apricothoist/dispatch';
-import { JobState } from '@apricothoist/dispatch';
+import { JobState, StartOutcome } from '@apricothoist/dispatch';
 import { EventLog, linesDropped, LogFormat, LogLevel } from '@apricothoist/telemetry';
-import { createSpecification, plainStep, replayBounds, replayQueues } from '@apricothoist/testing';
+import {
+  createSpecification,
+  listedRunner,
+  plainStep,
+  replayBounds,
+  replayQueues,
+} from '@apricothoist/testing';
 import test from 'ava';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -22,6 +28,7 @@
 import { StoreKeys } from './keys.js';
 import { RecentSet } from './RecentSet.js';
 import type { RunnerClient } from './RunnerClient.js';
+import type { SchedulingServices } from './Scheduling.js';
 import { Scheduling } from './Scheduling.js';
 import { SuspendClock } from './SuspendClock.js';
 
@@ -81,7 +88,11 @@
 );
 const refused: Commit = err(new CoordinationError(CoordinationErrorKind.refused, 'busy'));
 
-function createScheduling(store: CoordinationStore, resigned: string[]): Scheduling {
+function createScheduling(
+  store: CoordinationStore,
+  resigned: string[],
+  services: Partial<SchedulingServices> = {},
+): Scheduling {
   const clock = new SystemClock();
   return new Scheduling(
     {
@@ -95,6 +106,7 @@
       token: () => 7,
       resign: (reason) => resigned.push(reason),
       publish: () => {},
+      ...services,
     },
     7,
     undefined,
@@ -165,6 +177,46 @@
   t.deepEqual(resigned, []);
 });
 
+test('a start is not lost when the lease falls into doubt while progress is stored', async (t) => {
+  let token: number | undefined = 7;
+  const started: number[] = [];
+  const reported: string[] = [];
+  const store = storeWithJob(async (call) => {
+    // The first one tells of the job, the second one of the order.
+    if (call === 2) {
+      token = undefined;
+      await delay(50);
+      setTimeout(() => {
+        token = 7;
+      }, 100);
+    }
+    return committed;
+  });
+  const runners: RunnerClient = {
+    start: async (_runner, { run }) => {
+      started.push(run);
+      return StartOutcome.started;
+    },
+    stop: async () => ok(undefined),
+    report: async (_runner, { waitMs }) => {
+      const askedAt = new SystemClock().monotonic();
+      await delay(waitMs / 10);
+      return ok({ bornAt: 1, askedAt, running: [], ended: [] });
+    },
+  };
+  const scheduling = createScheduling(store, [], {
+    token: () => token,
+    runners,
+    registry: { list: async () => ok([listedRunner('r1')]) },
+    publish: ({ states }) => reported.push(...states.map(([, state]) => state)),
+  });
+  scheduling.start();
+  await delay(1_500);
+  scheduling[Symbol.dispose]();
+  t.true(started.length > 0, 'the task is started once the lease is confirmed');
+  t.true(reported.includes(JobState.running));
+});
+
 test('records of jobs that ended long ago are deleted, and forgotten everywhere', async (t) => {
   const store = storeWithJob(() => committed);
   const resigned: string[] = [];
