--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -119,13 +119,18 @@
     { reason, retryAfterMs }: Extract<Admission, { isAccepted: false }>,
     deadline: number,
   ): Promise<SubmitAnswer> {
-    const found = await this.store.read(StoreKeys.job(id), this.limit(deadline));
-    if (found.isErr()) {
-      return { outcome: SubmitOutcome.unknown, reason: found.error.message };
+    for (let call = 0; this.clock.monotonic() < deadline; call += 1) {
+      const found = await this.store.read(StoreKeys.job(id), this.limit(deadline));
+      if (found.isOk() && found.value !== undefined) {
+        return { outcome: SubmitOutcome.accepted, reason: 'already stored' };
+      }
+      // A write of ours without an answer may still be carried out.
+      if (found.isOk() && !this.uncertain.has(id)) {
+        return { outcome: SubmitOutcome.refused, reason, retryAfterMs };
+      }
+      await this.pause(call, deadline);
     }
-    return found.value === undefined
-      ? { outcome: SubmitOutcome.refused, reason, retryAfterMs }
-      : { outcome: SubmitOutcome.accepted, reason: 'already stored' };
+    return { outcome: SubmitOutcome.unknown, reason: 'not certain that the job is not stored' };
   }
 
   public async stateOf(id: string, deadline: number): Promise<StateAnswer> {
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -305,6 +305,26 @@
   );
 });
 
+test('a refusal for the backlog is tried until it is certain', async (t) => {
+  const clock = new SystemClock();
+  const board = new JobBoard(clock);
+  const outlook = { pending: 9, backlogMs: 90_000, durationMs: 1_000, largestRunner: 8 };
+  const queues = [[queue.name, outlook] as const];
+  board.apply({ isWhole: true, states: [], forgotten: [], queues, strongestCores: 0 });
+  const store = new ScriptedStore(() => committed);
+  let reads = 0;
+  store.read = async () => {
+    reads += 1;
+    return reads < 3
+      ? err(new CoordinationError(CoordinationErrorKind.unanswered, 'no answer'))
+      : ok(undefined);
+  };
+  const service = new JobService(store, board, clock, isReached);
+  const answer = await service.submit(specification, queue, clock.monotonic() + 2_000);
+  t.is(answer.outcome, SubmitOutcome.refused);
+  t.is(reads, 3);
+});
+
 test('a refusal for the backlog is not given for a job that is stored already', async (t) => {
   const clock = new SystemClock();
   const board = new JobBoard(clock);
