A successor takes over what the holder has learned of durations, paces and demand

Load pattern: instances stopped in turn or killed every few seconds; each new holder began with declared durations (off by up to ten times), no slow runners and no headroom.

--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -2,6 +2,7 @@
 import type { Account, Queue } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import type { Runner } from './Runner.js';
+import type { PaceRecord } from './RunnerPace.js';
 import type { Unit } from './Unit.js';
 import { UrgentDemand } from './UrgentDemand.js';
 import { UrgentHeadroom } from './UrgentHeadroom.js';
@@ -102,6 +103,9 @@
 
   public accounts: ReadonlyMap<string, Account> = new Map();
 
+  /** Paces of runners that a former scheduler has learned, by their life. */
+  public readonly formerPaces = new Map<string, PaceRecord>();
+
   public readonly estimates = new DurationEstimates();
 
   public readonly urgentHeadroom = new UrgentHeadroom();
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -9,6 +9,8 @@
   StopOrder,
 } from './DispatchState.js';
 import { defaultPolicy, DispatchState } from './DispatchState.js';
+import type { Experience } from './Experience.js';
+import { recordExperience, restoreExperience } from './Experience.js';
 import type { Account, JobSpecification, Queue } from './Job.js';
 import { JobState } from './Job.js';
 import { JobRun } from './JobRun.js';
@@ -230,6 +232,16 @@
     return forgotten;
   }
 
+  /** What was learned so far, for a successor. */
+  public recordExperience(now: number): Experience {
+    return recordExperience(this.state, now);
+  }
+
+  /** Takes over what a former scheduler has learned, before the runners are listed. */
+  public restoreExperience(experience: Experience, now: number): void {
+    restoreExperience(this.state, experience, now);
+  }
+
   /** What new jobs of each queue have to expect. */
   public describeQueues(): Map<string, QueueOutlook> {
     const { queues, openJobs, runners, estimates } = this.state;
--- a/packages/dispatch/src/DurationEstimates.ts
+++ b/packages/dispatch/src/DurationEstimates.ts
@@ -17,6 +17,22 @@
   covariance: number;
 }
 
+/** What was learned of one queue; logarithms to three digits. */
+export type DurationRecord = readonly [
+  queue: string,
+  runs: number,
+  meanActual: number,
+  meanDeclared: number,
+  declaredVariance: number,
+  covariance: number,
+];
+
+const digits = 1_000;
+
+function rounded(value: number): number {
+  return Math.round(value * digits) / digits;
+}
+
 function declaredLog(step: Step): number {
   return Math.log(Math.max(1, step.declaredMs));
 }
@@ -54,6 +70,23 @@
     observed.covariance += weight * (declaredOff * actualOff * (1 - weight) - observed.covariance);
   }
 
+  public get records(): DurationRecord[] {
+    return [...this.byQueue].map(([queue, observed]): DurationRecord => [
+      queue,
+      observed.runs,
+      rounded(observed.meanActual),
+      rounded(observed.meanDeclared),
+      rounded(observed.declaredVariance),
+      rounded(observed.covariance),
+    ]);
+  }
+
+  public restore(records: readonly DurationRecord[]): void {
+    records.forEach(([queue, runs, meanActual, meanDeclared, declaredVariance, covariance]) => {
+      this.byQueue.set(queue, { runs, meanActual, meanDeclared, declaredVariance, covariance });
+    });
+  }
+
   /** Usual duration of the queue's finished tasks in milliseconds; 0 before the first. */
   public learned(queue: string): number {
     const observed = this.byQueue.get(queue);
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -1,4 +1,5 @@
 import type { DispatchState } from './DispatchState.js';
+import { paceKey } from './Experience.js';
 import type { ReportReader } from './ReportReader.js';
 import type { ListedRunner } from './Runner.js';
 import { Runner } from './Runner.js';
@@ -48,7 +49,7 @@
     this.missingSince.delete(entry.id);
     const known = runners.get(entry.id);
     if (known === undefined) {
-      runners.set(entry.id, new Runner(entry));
+      runners.set(entry.id, this.createRunner(entry));
       log.decide('runnerListed', { runner: entry.id, rack: entry.rack, address: entry.address });
       return;
     }
@@ -68,4 +69,15 @@
       known.listed = entry;
     }
   }
+
+  private createRunner(entry: ListedRunner): Runner {
+    const runner = new Runner(entry);
+    const key = paceKey(entry.id, entry.bornAt);
+    const formerPace = this.state.formerPaces.get(key);
+    if (formerPace !== undefined) {
+      runner.pace.restore(formerPace);
+      this.state.formerPaces.delete(key);
+    }
+    return runner;
+  }
 }
--- a/packages/dispatch/src/RunnerPace.ts
+++ b/packages/dispatch/src/RunnerPace.ts
@@ -5,6 +5,11 @@
 /** Logarithm of the share by which a slow runner needs longer: half of what sheets call slow. */
 const slowLog = Math.log(1.13);
 
+/** Samples, and the mean of their logarithms to three digits. */
+export type PaceRecord = readonly [samples: number, meanLog: number];
+
+const digits = 1_000;
+
 /**
  * How long a runner takes for its work, against other runners that do the same.
  *
@@ -23,6 +28,19 @@
     this.meanLog += weight * (log - this.meanLog);
   }
 
+  public get isKnown(): boolean {
+    return this.samples > 0;
+  }
+
+  public get record(): PaceRecord {
+    return [this.samples, Math.round(this.meanLog * digits) / digits];
+  }
+
+  public restore([samples, meanLog]: PaceRecord): void {
+    this.samples = samples;
+    this.meanLog = meanLog;
+  }
+
   public get isSlow(): boolean {
     return this.samples >= fewSamples && this.meanLog > slowLog;
   }
--- a/packages/dispatch/src/UrgentDemand.ts
+++ b/packages/dispatch/src/UrgentDemand.ts
@@ -14,7 +14,7 @@
  * wait without missing its objective leaves them the room that they lately used.
  */
 export class UrgentDemand {
-  private readonly slots: number[] = [];
+  private slots: number[] = [];
 
   private slotEndsAt = 0;
 
@@ -31,6 +31,14 @@
     this.slots[last] = Math.max(this.slots[last] ?? 0, accelerators);
   }
 
+  public get record(): readonly number[] {
+    return this.slots;
+  }
+
+  public restore(slots: readonly number[]): void {
+    this.slots = [...slots];
+  }
+
   /** Accelerators to be kept for urgent jobs, those that they use included. */
   public get covered(): number {
     const sorted = [...this.slots].sort((left, right) => left - right);
--- a/packages/dispatch/src/UrgentHeadroom.ts
+++ b/packages/dispatch/src/UrgentHeadroom.ts
@@ -28,6 +28,11 @@
     this.accelerators += accelerators * keptPerStopped;
   }
 
+  public restore(accelerators: number, now: number): void {
+    this.accelerators = accelerators;
+    this.updatedAt = now;
+  }
+
   private decay(now: number): void {
     const passedMs = Math.max(0, now - this.updatedAt);
     this.accelerators *= 0.5 ** (passedMs / halfLifeMs);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -21,4 +21,5 @@
 export type { ListedRunner, Runner } from './Runner.js';
 export type { JobRun } from './JobRun.js';
 export { recordProgress } from './ProgressRecord.js';
+export type { Experience } from './Experience.js';
 export type { ProgressRecord } from './ProgressRecord.js';
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -9,6 +9,7 @@
 import { BoardNews } from './BoardNews.js';
 import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
+import { ExperienceKeeper } from './ExperienceKeeper.js';
 import { JobIntake } from './JobIntake.js';
 import { StoreKeys } from './keys.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
@@ -82,6 +83,8 @@
 
   private readonly news = new BoardNews();
 
+  private readonly experience: ExperienceKeeper;
+
   private isListing = false;
 
   public constructor(
@@ -107,6 +110,13 @@
       this.intake.takeItems(items);
       this.wake();
     });
+    this.experience = new ExperienceKeeper(
+      store,
+      this.dispatcher,
+      clock,
+      tenureToken,
+      ({ kind, message }) => log.emit(JobEvents.experienceNotKept, { kind, message }),
+    );
     this.writer = new ProgressWriter(
       store,
       clock,
@@ -205,6 +215,7 @@
         registry.list(deadline),
         store.list(StoreKeys.jobPrefix, deadline),
         store.list(StoreKeys.progressPrefix, deadline),
+        this.experience.restore(deadline),
       ]);
       if (runners.isOk() && jobs.isOk() && progress.isOk()) {
         this.dispatcher.listRunners(runners.value, this.now);
@@ -250,6 +261,7 @@
     this.news.noteForgotten(forgotten);
     if (this.token !== undefined) {
       this.tellFollowers();
+      this.experience.keepIfDue().catch((error: unknown) => this.fail(error));
     }
   }
 
--- a/packages/instance/src/StoredJob.ts
+++ b/packages/instance/src/StoredJob.ts
@@ -1,4 +1,4 @@
-import type { JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
+import type { Experience, JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
 
 /** A job as it is stored at its acceptance; it never changes. */
 export interface StoredJob {
@@ -8,7 +8,7 @@
 }
 
 /** Parses a record of our own; undefined if it is not readable. */
-export function parseRecord<T extends StoredJob | ProgressRecord | HolderRecord>(
+export function parseRecord<T extends StoredJob | ProgressRecord | HolderRecord | Experience>(
   value: string | undefined,
 ): T | undefined {
   try {
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -26,6 +26,7 @@
   progressNotStored: { code: 727, level: warn, text: 'progress not stored, trying again' },
   holderInDoubt: { code: 728, level: warn, text: 'lease in doubt, nothing is ordered' },
   holderConfirmed: { code: 729, level: info, text: 'lease confirmed, orders go on' },
+  experienceNotKept: { code: 731, level: warn, text: 'learned figures not read or kept' },
   requestAnswered: { code: 730, level: info, text: 'request answered' },
   runnerUnanswered: { code: 740, level: warn, text: 'runner did not answer' },
   entryInvalid: { code: 741, level: warn, text: 'registry entry not usable' },
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -217,6 +217,25 @@
   t.true(reported.includes(JobState.running));
 });
 
+test('a successor takes over what the holder has learned, and goes on without it', async (t) => {
+  const store = storeWithJob(() => committed);
+  const durations = [['urgent', 20, Math.log(2_000), 0, 0, 0]];
+  const value = JSON.stringify({ durations, paces: [], headroom: 0, demand: [] });
+  store.items.set(StoreKeys.experience, { key: StoreKeys.experience, value, revision: 4 });
+  const scheduling = createScheduling(store, []);
+  scheduling.start();
+  await delay(60);
+  scheduling[Symbol.dispose]();
+  t.is(Math.round(scheduling.dispatcher.state.estimates.learned('urgent')), 2_000);
+  store.read = async () =>
+    err(new CoordinationError(CoordinationErrorKind.unanswered, 'no answer'));
+  const another = createScheduling(store, []);
+  another.start();
+  await delay(60);
+  another[Symbol.dispose]();
+  t.true(another.dispatcher.state.jobs.has(specification.id));
+});
+
 test('records of jobs that ended long ago are deleted, and forgotten everywhere', async (t) => {
   const store = storeWithJob(() => committed);
   const resigned: string[] = [];
--- a/packages/instance/src/keys.ts
+++ b/packages/instance/src/keys.ts
@@ -5,6 +5,8 @@
 
 export const StoreKeys = {
   holder: 'holder',
+  /** What the holder has learned, for its successor. */
+  experience: 'experience',
   jobPrefix,
   progressPrefix,
   job: (id: string): string => `${jobPrefix}${id}`,
