Testing: runners in virtual time; a late start overlaps the next run

The first tests drive Scheduling, CommandSender, RunnerLink and Dispatcher as they are.

They show: the first start call gets no answer and is executed 3 s later; the retry is refused (unhealthy, noCapacity, leaseExpired or invalid). The refusal is taken for the end of the run, run 2 starts on the other runner, and run 1 starts beside it.

--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,4 +1,12 @@
 /** Fake servers of the platform, simulations and fixtures for tests. */
+export { CallKind } from './CallFate.js';
+export type { CallFate, VirtualCall } from './CallFate.js';
+export type { TaskBehaviour } from './TaskBehaviour.js';
+export { VirtualCoordinationStore } from './VirtualCoordinationStore.js';
+export { VirtualRunner } from './VirtualRunner.js';
+export { VirtualRunnerClient } from './VirtualRunnerClient.js';
+export { VirtualRunnerPool } from './VirtualRunnerPool.js';
+export type { VirtualRunRecord } from './VirtualRunRecord.js';
 export { MemoryStore } from './MemoryStore.js';
 export type { StoreFaults } from './MemoryStore.js';
 export { LoopbackServer, sendJson } from './LoopbackServer.js';
