--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@apricothoist/common';
 import { Random } from '@apricothoist/common';
 import type { JobState, ListedRunner, Queue, StartCommand, Step } from '@apricothoist/dispatch';
-import { StartOutcome } from '@apricothoist/dispatch';
+import { RunCounters, StartOutcome } from '@apricothoist/dispatch';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
 import type { CallFate, TaskBehaviour, VirtualCall, VirtualRunRecord } from '@apricothoist/testing';
 import {
@@ -121,6 +121,7 @@
         random: new Random(token),
         log: new EventLog('test', LogLevel.error, LogFormat.json, clock),
         bounds: replayBounds,
+      counters: new RunCounters(),
         token: () => token,
         resign: () => {},
         publish: () => {},
