Instance: tests of what proves the end of a run, in virtual time

Each test plays one sequence against Scheduling and a virtual runner: - an end is lost because the retry of an unanswered start is refused as outdated: a run after "done", and 4 failed runs where 3 are allowed; - a forward step of the wall clock by 2.5 s expires the leases of an unreachable runner early; - an answered stop of one process is taken as proof for the next one; - a late report of an earlier incarnation fences the new one; - a late start is executed after its runner, whose leases had expired, is in use again (it shows only if a runner judges a late start by its own lease, not by the deadline in the call; the contract leaves that open); - the acknowledgement of an earlier incarnation hides an end of the new one.

RUN_LOG=info prints the decisions.

--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -1,12 +1,15 @@
+import process from 'node:process';
+
 import type { Clock } from '@apricothoist/common';
 import { Random } from '@apricothoist/common';
-import type { JobState, ListedRunner, Queue, StartCommand, Step } from '@apricothoist/dispatch';
-import { StartOutcome } from '@apricothoist/dispatch';
+import type { ListedRunner, Queue, StartCommand, Step } from '@apricothoist/dispatch';
+import { JobState, RunEnd, StartOutcome } from '@apricothoist/dispatch';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
 import type { CallFate, TaskBehaviour, VirtualCall, VirtualRunRecord } from '@apricothoist/testing';
 import {
   CallKind,
   createSpecification,
+  DispatchFixture,
   listedRunner,
   plainStep,
   replayBounds,
@@ -23,6 +26,7 @@
 import { StoreKeys } from './keys.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
 import { RunnerError, RunnerErrorKind } from './RunnerClient.js';
+import type { SchedulingServices } from './Scheduling.js';
 import { Scheduling } from './Scheduling.js';
 import { SuspendAwareClock } from './SuspendAwareClock.js';
 
@@ -36,6 +40,8 @@
 };
 /** Milliseconds that a gang waits for its members. */
 const gangTimeoutMs = 4_000;
+/** Set RUN_LOG=info to trace decisions. */
+const logLevel = process.env.RUN_LOG === 'info' ? LogLevel.info : LogLevel.error;
 const latencyMs = 2;
 const delivered: CallFate = { kind: 'delivered', latencyMs };
 
@@ -59,6 +65,9 @@
 
   public readonly cutRunners = new Set<string>();
 
+  /** Registry entries of incarnations that have ended, until the next one has registered. */
+  private readonly staleEntries = new Map<string, ListedRunner>();
+
   public readonly drainingRunners = new Set<string>();
 
   /** Milliseconds by which the wall clock is ahead. */
@@ -68,6 +77,8 @@
 
   private current: Scheduling | undefined;
 
+  public readonly resignations: string[] = [];
+
   public constructor(private readonly options: DeploymentOptions) {
     for (let number = 1; number <= options.runners; number += 1) {
       this.pool.add(
@@ -109,28 +120,30 @@
   public takeOver(): void {
     this.current?.[Symbol.dispose]();
     const token = this.store.put(StoreKeys.holder, '{}');
-    const clock = new SuspendAwareClock(this.createClock());
-    this.current = new Scheduling(
-      {
-        store: this.store,
-        registry: {
-          list: async () => ok(this.listRunners()),
-        },
-        runners: this.createClient(clock),
-        clock,
-        random: new Random(token),
-        log: new EventLog('test', LogLevel.error, LogFormat.json, clock),
-        bounds: replayBounds,
-        token: () => token,
-        resign: () => {},
-        publish: () => {},
-      },
-      token,
-      configuration,
-    );
+    this.current = new Scheduling(this.createServices(token), token, configuration);
     this.current.start();
   }
 
+  private createServices(token: number): SchedulingServices {
+    const steadyClock: Clock = {
+      monotonic: () => this.now,
+      wall: () => this.now + this.wallOffsetMs,
+    };
+    const clock = new SuspendAwareClock(steadyClock);
+    return {
+      store: this.store,
+      registry: { list: async () => ok(this.listRunners()) },
+      runners: this.createClient(clock),
+      clock,
+      random: new Random(token),
+      log: new EventLog('test', logLevel, LogFormat.text, clock),
+      bounds: replayBounds,
+      token: () => token,
+      resign: (reason) => this.resignations.push(reason),
+      publish: () => {},
+    };
+  }
+
   /** Advances virtual time. */
   public async run(milliseconds: number): Promise<void> {
     const end = this.now + milliseconds;
@@ -150,7 +163,7 @@
   /** Advances virtual time until all jobs have completed; false if they do not within the limit. */
   public async runUntilCompleted(limitMs: number): Promise<boolean> {
     const end = this.now + limitMs;
-    while ([...this.steps.keys()].some((id) => this.stateOf(id) !== 'completed')) {
+    while ([...this.steps.keys()].some((id) => this.stateOf(id) !== JobState.completed)) {
       if (this.now >= end) {
         return false;
       }
@@ -159,14 +172,21 @@
     return true;
   }
 
-  private listRunners(): ListedRunner[] {
-    return this.pool.all
-      .filter(({ isUp }) => isUp)
-      .map(({ id, entry }) => ({ ...entry, isDraining: this.drainingRunners.has(id) }));
+  /** Crashes a runner and starts it again under its id, `downMs` later. */
+  public async restart(runnerId: string, downMs: number, registeredAfterMs = 0): Promise<void> {
+    const runner = this.pool.get(runnerId);
+    const { entry } = runner;
+    runner.crash(this.now);
+    this.staleEntries.set(runnerId, entry);
+    await this.run(downMs);
+    runner.restart(this.now, this.now);
+    setTimeout(() => this.staleEntries.delete(runnerId), registeredAfterMs);
   }
 
-  private createClock(): Clock {
-    return { monotonic: () => this.now, wall: () => this.now + this.wallOffsetMs };
+  private listRunners(): ListedRunner[] {
+    return this.pool.all
+      .map(({ id, entry }) => this.staleEntries.get(id) ?? entry)
+      .map((entry) => ({ ...entry, isDraining: this.drainingRunners.has(entry.id) }));
   }
 
   private createClient(clock: Clock): VirtualRunnerClient<RunnerError> {
@@ -223,6 +243,8 @@
 }
 
 const jobId = '00000000000000aa';
+/** Task size that fills a runner. */
+const wholeRunner = { size: { cpu: 1_000, memoryMb: 1_000, accelerators: 8 } };
 
 [
   StartOutcome.unhealthy,
@@ -253,3 +275,138 @@
     },
   );
 });
+
+[RunEnd.done, RunEnd.failed].forEach((end) => {
+  // The runner refuses the retry as outdated because the first call was executed.
+  test.serial(`the end of a run whose start was not answered is not lost: ${end}`, async (t) => {
+    let reportsToDrop = 1;
+    let hasStarted = false;
+    using deployment = new VirtualDeployment({
+      runners: 1,
+      durationMs: 100,
+      behave: () => (end === RunEnd.failed ? { failsAfterMs: 50 } : {}),
+      decideFate: ({ kind }) => {
+        if (kind === CallKind.start && !hasStarted) {
+          hasStarted = true;
+          return { kind: 'answerLost', latencyMs };
+        }
+        if (kind === CallKind.report && hasStarted && reportsToDrop > 0) {
+          reportsToDrop -= 1;
+          return { kind: 'dropped' };
+        }
+        return delivered;
+      },
+    });
+    deployment.submit(jobId, [plainStep]);
+    deployment.takeOver();
+    await deployment.run(60_000);
+    const { records } = deployment.pool;
+    t.deepEqual(
+      records.map((record) => record.end),
+      end === RunEnd.done ? [end] : Array.from({ length: queue.maxAttempts }, () => end),
+    );
+    t.is(deployment.stateOf(jobId), end === RunEnd.done ? JobState.completed : JobState.failed);
+  });
+});
+
+test.serial('a step of the wall clock does not expire the leases of a runner early', async (t) => {
+  using deployment = new VirtualDeployment({ runners: 2, durationMs: 15_000 });
+  deployment.submit(jobId, [plainStep]);
+  deployment.takeOver();
+  await deployment.run(1_500);
+  deployment.cutRunners.add('r1');
+  await deployment.run(500);
+  deployment.wallOffsetMs += 2_500;
+  t.true(await deployment.runUntilCompleted(60_000));
+  t.is(deployment.pool.records[0]?.end, RunEnd.lapsed);
+  t.deepEqual(findOverlaps(deployment.pool.records), []);
+});
+
+test.serial('a stop answered before a restart is no proof for the new process', async (t) => {
+  const starts: CallFate[] = [{ kind: 'dropped' }, { kind: 'late', lateMs: 3_000 }];
+  const stops: CallFate[] = [delivered, { kind: 'dropped' }, { kind: 'dropped' }];
+  using deployment = new VirtualDeployment({
+    runners: 4,
+    durationMs: 5_000,
+    decideFate: ({ kind, runnerId, run }) => {
+      if (run !== 1) {
+        return delivered;
+      }
+      if (runnerId === 'r1') {
+        return { kind: 'refused', outcome: StartOutcome.unhealthy, latencyMs };
+      }
+      return kind === CallKind.start
+        ? (starts.shift() ?? { kind: 'dropped' })
+        : (stops.shift() ?? delivered);
+    },
+  });
+  deployment.submit(jobId, [{ ...plainStep, ...wholeRunner, count: 2, isGang: true }]);
+  deployment.takeOver();
+  await deployment.run(100);
+  await deployment.restart('r2', 100);
+  t.true(await deployment.runUntilCompleted(30_000));
+  await deployment.run(10_000);
+  t.deepEqual(findOverlaps(deployment.pool.records), []);
+});
+
+test('a late report of an earlier incarnation does not stand for the new one', (t) => {
+  const fixture = new DispatchFixture([plainStep], undefined, ['r1']);
+  fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 2 })], fixture.now);
+  fixture.report('r1', [], [], 1);
+  t.deepEqual(fixture.step().starts, [], 'the new process has not accepted the token');
+  fixture.report('r1', [], [], 2);
+  t.is(fixture.step().starts.length, 1);
+});
+
+test.serial('an expired lease does not prove an end once it is extended again', async (t) => {
+  using deployment = new VirtualDeployment({
+    runners: 2,
+    durationMs: 10_000,
+    decideFate: firstStarts(
+      { kind: 'late', lateMs: 10_000 },
+      { kind: 'dropped' },
+      { kind: 'dropped' },
+    ),
+  });
+  deployment.submit(jobId, [plainStep]);
+  deployment.takeOver();
+  await deployment.run(100);
+  deployment.cutRunners.add('r1');
+  await deployment.run(7_500);
+  t.is(deployment.pool.records.length, 1, 'the task runs again');
+  deployment.cutRunners.delete('r1');
+  // Moves the next job to the runner of the first run.
+  deployment.drainingRunners.add('r2');
+  await deployment.run(1_500);
+  deployment.submit('00000000000000bb', [plainStep]);
+  await deployment.run(200);
+  t.true(await deployment.runUntilCompleted(60_000));
+  t.deepEqual(findOverlaps(deployment.pool.records), []);
+});
+
+test.serial('an end on a restarted runner is not lost to an earlier acknowledgement', async (t) => {
+  let reportsToDrop = 0;
+  using deployment = new VirtualDeployment({
+    runners: 1,
+    durationMs: 300,
+    decideFate: ({ kind }) => {
+      if (kind === CallKind.report && reportsToDrop > 0) {
+        reportsToDrop -= 1;
+        return { kind: 'dropped' };
+      }
+      return delivered;
+    },
+  });
+  deployment.submit(jobId, [plainStep]);
+  deployment.takeOver();
+  t.true(await deployment.runUntilCompleted(5_000));
+  await deployment.run(1_000);
+  await deployment.restart('r1', 50, 5_000);
+  reportsToDrop = 1;
+  deployment.submit('00000000000000bb', [plainStep]);
+  t.true(await deployment.runUntilCompleted(10_000));
+  t.deepEqual(
+    deployment.pool.records.map(({ end }) => end),
+    [RunEnd.done, RunEnd.done],
+  );
+});
--- a/packages/testing/src/VirtualRunner.ts
+++ b/packages/testing/src/VirtualRunner.ts
@@ -34,6 +34,8 @@
   readonly processStartedAt: number;
   readonly running: readonly RunningTask[];
   readonly ended: readonly EndedTask[];
+  /** Whether further ends are listed only after these have been acknowledged. */
+  readonly hasMoreEnds: boolean;
 }
 
 /** Largest number of ends in one report. */
@@ -228,6 +230,7 @@
         percent: run.percentAt(now),
       })),
       ended: this.ends.slice(0, maxListedEnds).map(({ listed }) => listed),
+      hasMoreEnds: this.ends.length > maxListedEnds,
     };
   }
 
