Judge leases of runners by a clock that never runs ahead

Cause: SuspendAwareClock adds forward steps of the wall clock to the monotonic time, because a step cannot be told from a suspension. That is safe for the lease of the instance itself, which then ends early. The same clock decided when the leases of runners have expired, where early means that a run still goes on: it was started again, and no longer counted against the limit of tasks per runner. Change: the steady clock judges leases of runners (extension, expiry, takeover) and extrapolates their clocks; the clock that may run ahead stays with the instance's own lease, time limits and ages. Price: after a real suspension the leases of an unreachable runner count as expired later, by the time of the suspension.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -14,7 +14,7 @@
 import type { Account, JobSpecification, Queue } from './Job.js';
 import { JobState } from './Job.js';
 import { JobRun } from './JobRun.js';
-import type { ProgressRecord } from './ProgressRecord.js';
+import type { StoredProgress } from './ProgressRecord.js';
 import type { RunnerReport } from './ReportHandler.js';
 import { ReportHandler } from './ReportHandler.js';
 import { ProgressRestorer } from './ProgressRestorer.js';
@@ -109,7 +109,7 @@
     fallback: Queue,
     arrivedAt: number,
     now: number,
-    stored?: { readonly progress: ProgressRecord; readonly version: number },
+    stored?: StoredProgress,
   ): void {
     if (this.state.jobs.has(specification.id)) {
       return;
@@ -121,7 +121,7 @@
     this.isRoundDue = true;
     if (stored !== undefined) {
       job.storedVersion = stored.version;
-      this.progressRestorer.restore(job, stored.progress, now);
+      this.progressRestorer.restore(job, stored, now);
     }
     if (job.isEnded) {
       this.state.openJobs.delete(job);
@@ -173,11 +173,15 @@
     }
   }
 
-  /** Records that a call is being sent that extends leases on the runner or starts a task there. */
-  public recordLeaseExtension(runnerId: string, now: number): void {
+  /**
+   * Records that a call is being sent that extends leases on the runner or starts a task there.
+   *
+   * @param steadyNow reading of the steady clock, see `step`
+   */
+  public recordLeaseExtension(runnerId: string, steadyNow: number): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
-      extendLease(runner, this.state.bounds, now);
+      extendLease(runner, this.state.bounds, steadyNow);
     }
   }
 
@@ -205,11 +209,14 @@
 
   /**
    * Runs the time-driven checks and, if due, a scheduling round; returns the commands to be sent.
+   *
+   * @param now monotonic time, which may run ahead after a step of the wall clock
+   * @param steadyNow reading of a clock that never runs ahead; leases of runners are judged by it
    */
-  public step(now: number, wallNow: number): Commands {
+  public step(now: number, wallNow: number, steadyNow: number): Commands {
     if (now >= this.nextCheckAt) {
       this.nextCheckAt = now + checkIntervalMs;
-      this.state.runners.forEach((runner) => this.checkRunner(runner, now));
+      this.state.runners.forEach((runner) => this.checkRunner(runner, now, steadyNow));
       this.evacuateDraining(now);
       this.removeExpired(now);
       this.isRoundDue = true;
@@ -270,14 +277,15 @@
     });
   }
 
-  private checkRunner(runner: Runner, now: number): void {
-    if (runner.occupants.size > 0 && runner.leaseEnd > 0 && now > runner.leaseEnd) {
+  private checkRunner(runner: Runner, now: number, steadyNow: number): void {
+    if (runner.occupants.size > 0 && runner.leaseEnd > 0 && steadyNow > runner.leaseEnd) {
       this.state.log.decide('runnerLeasesExpired', {
         runner: runner.id,
         tasks: runner.occupants.size,
         unresponsiveMs: Math.round(now - runner.reportedAt),
+        expiredMs: Math.round(steadyNow - runner.leaseEnd),
       });
-      this.reportHandler.endAllRuns(runner, now);
+      this.reportHandler.endAllRuns(runner, now, steadyNow);
     }
     runner.occupants.forEach(({ group, member, run }) => {
       const key = occupantKey(member.task, run);
--- a/packages/dispatch/src/ProgressRecord.ts
+++ b/packages/dispatch/src/ProgressRecord.ts
@@ -23,6 +23,14 @@
   readonly units: readonly TaskGroupRecord[];
 }
 
+/** A progress record as read from the store. */
+export interface StoredProgress {
+  readonly progress: ProgressRecord;
+  readonly version: number;
+  /** Steady time until which the previous scheduling instance may have extended leases. */
+  readonly leasesExtendedUntil: number;
+}
+
 export function createProgressRecord(job: JobRun): ProgressRecord {
   const { state, hasStarted } = job;
   if (job.isEnded) {
--- a/packages/dispatch/src/ProgressRestorer.ts
+++ b/packages/dispatch/src/ProgressRestorer.ts
@@ -1,6 +1,6 @@
 import type { DispatchState } from './DispatchState.js';
 import type { JobRun } from './JobRun.js';
-import type { ProgressRecord } from './ProgressRecord.js';
+import type { StoredProgress } from './ProgressRecord.js';
 import { extendLease, Runner } from './Runner.js';
 import type { TaskGroup } from './TaskGroup.js';
 import { RunHistory } from './RunHistory.js';
@@ -16,7 +16,8 @@
   ) {}
 
   /** Applies the stored progress of a job. */
-  public restore(job: JobRun, progress: ProgressRecord, now: number): void {
+  public restore(job: JobRun, stored: StoredProgress, now: number): void {
+    const { progress, leasesExtendedUntil } = stored;
     job.state = progress.state;
     job.hasStarted = progress.hasStarted;
     if (job.isEnded) {
@@ -38,7 +39,7 @@
         group.run = run;
         group.failures = failures;
         group.saved = saved;
-        this.restorePlacement(group, runnerIds, now);
+        this.restorePlacement(group, runnerIds, leasesExtendedUntil, now);
       }
     });
   }
@@ -48,6 +49,7 @@
   private restorePlacement(
     group: TaskGroup,
     runnerIds: readonly (string | null)[],
+    leasesExtendedUntil: number,
     now: number,
   ): void {
     if (runnerIds.every((runnerId) => runnerId === null)) {
@@ -63,7 +65,7 @@
       }
       const runner = this.state.runners.get(runnerId) ?? this.addMissingRunner(group, runnerId);
       placeMember(group, member, runner, RunHistory.forTakeover(now));
-      extendLease(runner, this.state.bounds, now);
+      extendLease(runner, this.state.bounds, leasesExtendedUntil);
     });
     if (group.members.some((member) => member.state === MemberState.ended)) {
       this.lifecycle.abort(group, 'a member had ended before the takeover', now);
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -85,9 +85,11 @@
   }
 
   /** Ends all runs of the runner, whose leases have expired. */
-  public endAllRuns(runner: Runner, now: number): void {
+  public endAllRuns(runner: Runner, now: number, steadyNow: number): void {
     [...runner.occupants.values()].forEach((occupant) => {
-      this.lifecycle.endRun(runner, occupant, RunEnd.lapsed, EndEvidence.leaseExpired, now, now);
+      const { lapsed } = RunEnd;
+      const { leaseExpired } = EndEvidence;
+      this.lifecycle.endRun(runner, occupant, lapsed, leaseExpired, steadyNow, now);
     });
   }
 
--- a/packages/dispatch/src/RunHistory.ts
+++ b/packages/dispatch/src/RunHistory.ts
@@ -4,9 +4,9 @@
 /** Observation from which the end of a run may be concluded. */
 export interface EndObservation {
   readonly evidence: EndEvidence;
-  /** Monotonic time: of the request for a report, or of the check of a lease. */
+  /** Monotonic time of the request for a report, or steady time of the check of a lease. */
   readonly at: number;
-  /** Monotonic time after which no lease on the runner can be valid. */
+  /** Steady time after which no lease on the runner can be valid. */
   readonly leaseEnd: number;
 }
 
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -50,7 +50,7 @@
   /** Consecutive calls without a response. */
   public unansweredCalls = 0;
 
-  /** Monotonic time after which no run with a lease granted so far can still run. */
+  /** Steady time after which no run with a lease granted so far can still run. */
   public leaseEnd = 0;
 
   /** Sequence number of the last processed end of a run. */
@@ -169,9 +169,9 @@
 const leaseSlackMs = 150;
 
 /** Records that a call is being sent that extends leases on the runner or starts a task there. */
-export function extendLease(runner: Runner, bounds: DispatchBounds, now: number): void {
+export function extendLease(runner: Runner, bounds: DispatchBounds, steadyNow: number): void {
   const maxDurationMs = bounds.maxLeaseMs * slowClockFactor + leaseSlackMs;
-  runner.leaseEnd = Math.max(runner.leaseEnd, now + maxDurationMs);
+  runner.leaseEnd = Math.max(runner.leaseEnd, steadyNow + maxDurationMs);
 }
 
 export function occupantKey(task: string, run: number): string {
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -292,7 +292,6 @@
       memberState: member.state,
       sinceStartMs: Math.round(now - group.startRequestedAt),
       reportAgeMs: Math.round(now - runner.reportRequestedAt),
-      leaseLeftMs: Math.round(runner.leaseEnd - now),
     });
   }
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -25,4 +25,4 @@
 export type { JobRun } from './JobRun.js';
 export { createProgressRecord } from './ProgressRecord.js';
 export type { LearnedState } from './LearnedState.js';
-export type { ProgressRecord } from './ProgressRecord.js';
+export type { ProgressRecord, StoredProgress } from './ProgressRecord.js';
--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -20,6 +20,7 @@
     private readonly dispatcher: Dispatcher,
     private readonly runners: RunnerClient,
     private readonly clock: Clock,
+    private readonly steadyClock: Clock,
     private readonly owner: RunnerLinkOwner,
     private readonly onError: (error: unknown) => void,
   ) {}
@@ -42,7 +43,7 @@
         break;
       }
       const sentAt = this.clock.monotonic();
-      this.dispatcher.recordLeaseExtension(runnerId, sentAt);
+      this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
       const outcome = await this.runners.start(runner.listed, command, token, sentAt + attemptMs);
       outcomes.push(outcome);
       if (outcome !== StartOutcome.unknown) {
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -38,7 +38,10 @@
   readonly store: CoordinationStore;
   readonly registry: RunnerRegistry;
   readonly runners: RunnerClient;
+  /** Monotonic clock that includes suspensions, so that it may run ahead. */
   readonly clock: Clock;
+  /** Monotonic clock that never runs ahead. */
+  readonly steadyClock: Clock;
   readonly random: Random;
   readonly log: EventLog;
   readonly configurationKey: string;
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -59,6 +59,7 @@
     private readonly dispatcher: Dispatcher,
     private readonly owner: RunnerLinkOwner,
     private readonly clock: Clock,
+    private readonly steadyClock: Clock,
     private readonly random: Random,
   ) {}
 
@@ -131,7 +132,7 @@
       runner.occupants.size > 0 && runner.unansweredCalls === 0 && runner.isFenced;
     const requestedAt = this.clock.monotonic();
     if (extendsLease) {
-      this.dispatcher.recordLeaseExtension(runner.id, requestedAt);
+      this.dispatcher.recordLeaseExtension(runner.id, this.steadyClock.monotonic());
     }
     const request = { token, acknowledgedEnd, extendsLease, waitMs: isBusy ? reportWaitMs : 0 };
     const deadline = requestedAt + request.waitMs + responseTimeoutMs;
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -58,6 +58,8 @@
   readonly registry: RunnerRegistry;
   readonly runners: RunnerClient;
   readonly clock: Clock;
+  /** Clock that never runs ahead; leases of runners are judged by it. */
+  readonly steadyClock: Clock;
   readonly random: Random;
   readonly log: EventLog;
   readonly bounds: DispatchBounds;
@@ -107,7 +109,7 @@
     private readonly termToken: number,
     configuration: OperatorConfiguration | undefined,
   ) {
-    const { store, clock, random, log, bounds, counters } = services;
+    const { store, clock, steadyClock, random, log, bounds, counters } = services;
     const decisionLog: DecisionLog = {
       decide: (kind, fields) => log.emit(DecisionEvents[kind], fields),
     };
@@ -116,10 +118,15 @@
       this.configure(configuration);
     }
     const { runners } = services;
-    this.commandSender = new CommandSender(this.dispatcher, runners, clock, this, (error) =>
-      this.logError(error),
+    this.commandSender = new CommandSender(
+      this.dispatcher,
+      runners,
+      clock,
+      steadyClock,
+      this,
+      (error) => this.logError(error),
     );
-    this.jobLoader = new StoredJobLoader(this.dispatcher, clock, log);
+    this.jobLoader = new StoredJobLoader(this.dispatcher, clock, steadyClock, log);
     const followSettings = { watchMs, watchesPerRead: Infinity };
     this.watch = new PrefixFollower(store, clock, random, StoreKeys.jobPrefix, followSettings);
     this.watch.onItems(({ items }) => {
@@ -272,7 +279,8 @@
 
   private async step(): Promise<void> {
     this.listRunnersIfDue();
-    const commands = this.dispatcher.step(this.now, this.services.clock.wall());
+    const { clock, steadyClock } = this.services;
+    const commands = this.dispatcher.step(this.now, clock.wall(), steadyClock.monotonic());
     commands.stops.forEach((command) => this.commandSender.stop(command));
     const changed = this.dispatcher.takeUnstoredJobs();
     const ends = [...this.dispatcher.state.runners.values()]
@@ -360,8 +368,9 @@
   }
 
   private addLink(runner: Runner): void {
-    const { runners, clock, random } = this.services;
-    const link = new RunnerLink(runner, runners, this.dispatcher, this, clock, random);
+    const { runners, clock, steadyClock, random } = this.services;
+    const { dispatcher } = this;
+    const link = new RunnerLink(runner, runners, dispatcher, this, clock, steadyClock, random);
     this.links.set(runner.id, link);
     link.start((error) => this.logError(error));
   }
--- a/packages/instance/src/StoredJobLoader.ts
+++ b/packages/instance/src/StoredJobLoader.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@apricothoist/common';
-import type { Dispatcher, ProgressRecord } from '@apricothoist/dispatch';
+import type { Dispatcher, ProgressRecord, StoredProgress } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
 
 import type { StoredItem } from './CoordinationStore.js';
@@ -13,12 +13,14 @@
   public constructor(
     private readonly dispatcher: Dispatcher,
     private readonly clock: Clock,
+    private readonly steadyClock: Clock,
     private readonly log: EventLog,
   ) {}
 
   /** Loads all stored jobs and progress records at a takeover. */
   public loadAll(jobs: readonly StoredItem[], progress: readonly StoredItem[]): void {
-    const records = new Map<string, { progress: ProgressRecord; version: number }>();
+    const records = new Map<string, StoredProgress>();
+    const leasesExtendedUntil = this.steadyClock.monotonic();
     progress.forEach(({ key, value, revision }) => {
       const record = parseRecord<ProgressRecord>(value);
       if (record === undefined) {
@@ -26,7 +28,7 @@
         return;
       }
       const id = key.slice(StoreKeys.progressPrefix.length);
-      records.set(id, { progress: record, version: revision });
+      records.set(id, { progress: record, version: revision, leasesExtendedUntil });
     });
     this.loadItems(jobs, records);
   }
@@ -34,7 +36,7 @@
   /** Loads jobs before cancellations: a cancellation may precede its job in the same list. */
   public loadItems(
     items: readonly StoredItem[],
-    records?: ReadonlyMap<string, { progress: ProgressRecord; version: number }>,
+    records?: ReadonlyMap<string, StoredProgress>,
   ): void {
     const cancellations: string[] = [];
     items.forEach(({ key, value }) => {
@@ -48,11 +50,7 @@
     cancellations.forEach((id) => this.dispatcher.cancelJob(id, this.clock.monotonic()));
   }
 
-  private loadJob(
-    key: string,
-    value: string,
-    record: { progress: ProgressRecord; version: number } | undefined,
-  ): void {
+  private loadJob(key: string, value: string, record: StoredProgress | undefined): void {
     const stored = parseRecord<StoredJob>(value);
     if (stored === undefined) {
       this.log.emit(JobEvents.recordUnreadable, { key });
--- a/packages/instance/src/SuspendAwareClock.ts
+++ b/packages/instance/src/SuspendAwareClock.ts
@@ -6,8 +6,8 @@
 
 /**
  * A monotonic clock that includes the time for which the machine was suspended, measured by the
- * wall clock. A forward step of the wall clock is indistinguishable from a suspension; it expires
- * leases early, which is safe.
+ * wall clock. A forward step of the wall clock is indistinguishable from a suspension, so this clock
+ * may run ahead. That is safe for the end of a lease of this instance, not for one of another process.
  */
 export class SuspendAwareClock implements Clock {
   private readonly stepped = new Emitter<number>();
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -100,6 +100,7 @@
       registry: { list: async () => ok([]) },
       runners: {} as RunnerClient,
       clock,
+      steadyClock: clock,
       random: new Random(1),
       log: new EventLog('test', LogLevel.error, LogFormat.json, clock),
       bounds: replayBounds,
--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -135,6 +135,7 @@
       registry: { list: async () => ok(this.listRunners()) },
       runners: this.createClient(clock),
       clock,
+      steadyClock,
       random: new Random(token),
       log: new EventLog('test', logLevel, LogFormat.text, clock),
       bounds: replayBounds,
--- a/packages/testing/src/DispatchFixture.ts
+++ b/packages/testing/src/DispatchFixture.ts
@@ -2,10 +2,10 @@
   EndedTask,
   ListedRunner,
   Commands,
-  ProgressRecord,
   Queue,
   RunEnd,
   RunningTask,
+  StoredProgress,
   Step,
 } from '@apricothoist/dispatch';
 import { Dispatcher, StartOutcome } from '@apricothoist/dispatch';
@@ -49,7 +49,7 @@
 
   public constructor(
     steps: readonly Step[] = [fixtureStep],
-    stored?: { progress: ProgressRecord; version: number },
+    stored?: Omit<StoredProgress, 'leasesExtendedUntil'>,
     runnerIds: readonly string[] = ['r1', 'r2'],
   ) {
     this.dispatcher.configure(new Map([[fixtureQueue.name, fixtureQueue]]), new Map());
@@ -58,7 +58,8 @@
       this.now,
     );
     const specification = { ...createSpecification(fixtureJobId, steps), payload: 'payload' };
-    this.dispatcher.addJob(specification, fixtureQueue, this.now, this.now, stored);
+    const read = stored && { ...stored, leasesExtendedUntil: this.now };
+    this.dispatcher.addJob(specification, fixtureQueue, this.now, this.now, read);
   }
 
   /** Delivers a report of a runner. */
@@ -76,7 +77,7 @@
   /** Advances the time and returns the commands of one step of the dispatcher. */
   public step(elapsedMs = 10): Commands {
     this.now += elapsedMs;
-    return this.dispatcher.step(this.now, this.now);
+    return this.dispatcher.step(this.now, this.now, this.now);
   }
 
   /** Reports `outcome` for every start command. */
--- a/packages/testing/src/ReplaySimulation.ts
+++ b/packages/testing/src/ReplaySimulation.ts
@@ -231,7 +231,7 @@
       }
       this.runners.forEach((runner) => this.reportRunner(runner));
       const stepStartedAt = performance.now();
-      const { starts, stops } = this.dispatcher.step(this.now, this.now);
+      const { starts, stops } = this.dispatcher.step(this.now, this.now, this.now);
       this.stepMs.push(performance.now() - stepStartedAt);
       this.dispatcher.takeUnstoredJobs();
       stops.forEach(({ runnerId, task, run }) => this.stopTask(runnerId, `${task}#${run}`));
