Instance: property test of overlapping runs under random faults

Draws jobs and faults from a seed: unanswered calls that are dropped, executed without an answer or executed 2 to 12 s later; cut-off, unhealthy, unlisted and restarting runners; takeovers; forward steps of the wall clock. Checks that no two runs of a task overlap, that no run starts after an acknowledged success, that the limit of tasks per runner holds, that no term resigns, and that all jobs complete after the faults. RUN_LOG=info prints what concerns the task.

Command: npx ava packages/instance/dist/runOverlap.test.js; RUN_SEEDS=1-150 for others.

--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -12,6 +12,7 @@
   DispatchFixture,
   listedRunner,
   plainStep,
+  RandomCallFates,
   replayBounds,
   replayQueues,
   VirtualCoordinationStore,
@@ -31,23 +32,35 @@
 import { SuspendAwareClock } from './SuspendAwareClock.js';
 
 const queue = replayQueues.urgent as Queue;
-const configuration: OperatorConfiguration = {
+const configurationOf = (route: Queue): OperatorConfiguration => ({
   version: 1,
-  routes: [{ ...queue, host: 'host', pathPrefix: '/urgent/', isPublic: true }],
+  routes: [{ ...route, host: 'host', pathPrefix: '/urgent/', isPublic: true }],
   accounts: [{ name: 'anna', guaranteedAccelerators: 0 }],
   accountByKey: new Map(),
   maxBodyBytes: 1_000,
-};
+});
 /** Milliseconds that a gang waits for its members. */
 const gangTimeoutMs = 4_000;
-/** Set RUN_LOG=info to trace decisions. */
-const logLevel = process.env.RUN_LOG === 'info' ? LogLevel.info : LogLevel.error;
+/** RUN_LOG=info prints the decisions and, for a failed seed, the calls that concern the task. */
+const isTraced = process.env.RUN_LOG === 'info';
+const logLevel = isTraced ? LogLevel.info : LogLevel.error;
 const latencyMs = 2;
+/** Share of its time that the clock of a runner may lose. */
+const maxClockSlowness = 0.02;
+/** Milliseconds for which two instances believe that they are the holder. */
+const formerTermMs = 200;
 const delivered: CallFate = { kind: 'delivered', latencyMs };
 
+interface TraceLine {
+  readonly runnerId: string;
+  readonly text: string;
+}
+
 interface DeploymentOptions {
   readonly runners: number;
+  readonly guardsCapacity?: boolean;
   readonly decideFate?: (call: VirtualCall) => CallFate;
+  readonly queue?: Queue;
   readonly durationMs?: number;
   readonly behave?: (command: StartCommand) => Partial<TaskBehaviour>;
 }
@@ -68,26 +81,34 @@
   /** Registry entries of incarnations that have ended, until the next one has registered. */
   private readonly staleEntries = new Map<string, ListedRunner>();
 
+  public readonly unlistedRunners = new Set<string>();
+
   public readonly drainingRunners = new Set<string>();
 
   /** Milliseconds by which the wall clock is ahead. */
   public wallOffsetMs = 0;
 
-  private readonly steps = new Map<string, readonly Step[]>();
+  private readonly jobSteps = new Map<string, readonly Step[]>();
 
   private current: Scheduling | undefined;
 
+  private currentToken = 0;
+
+  private readonly terms = new Map<number, Scheduling>();
+
   public readonly resignations: string[] = [];
 
+  private readonly traceLines: TraceLine[] = [];
+
   public constructor(private readonly options: DeploymentOptions) {
     for (let number = 1; number <= options.runners; number += 1) {
       this.pool.add(
         new VirtualRunner(
           {
             entry: listedRunner(`r${number}`),
-            clockSlowness: 1.02,
+            clockSlowness: 1 + (maxClockSlowness * number) / options.runners,
             maxLeaseMs: replayBounds.maxLeaseMs,
-            guardsCapacity: true,
+            guardsCapacity: options.guardsCapacity ?? true,
             behaviourOf: (command) => this.behaviourOf(command),
           },
           this.pool,
@@ -111,16 +132,28 @@
 
   public submit(id: string, steps: readonly Partial<Step>[]): void {
     const whole = steps.map((step): Step => ({ ...plainStep, ...step }));
-    this.steps.set(id, whole);
+    this.jobSteps.set(id, whole);
     const specification = { ...createSpecification(id, whole), acceptedAt: this.now };
-    this.store.put(StoreKeys.job(id), JSON.stringify({ specification, queue }));
+    this.store.put(
+      StoreKeys.job(id),
+      JSON.stringify({ specification, queue: this.options.queue ?? queue }),
+    );
   }
 
   /** Starts a term with a higher token, and ends the term before it. */
   public takeOver(): void {
-    this.current?.[Symbol.dispose]();
+    const former = this.current;
+    // The former holder learns a little later that its term has ended.
+    setTimeout(() => former?.[Symbol.dispose](), formerTermMs);
     const token = this.store.put(StoreKeys.holder, '{}');
-    this.current = new Scheduling(this.createServices(token), token, configuration);
+    this.currentToken = token;
+    this.pool.all.forEach(({ id }) => this.trace(id, id, `is taken over by ${token}`));
+    this.current = new Scheduling(
+      this.createServices(token),
+      token,
+      configurationOf(this.options.queue ?? queue),
+    );
+    this.terms.set(token, this.current);
     this.current.start();
   }
 
@@ -139,7 +172,13 @@
       log: new EventLog('test', logLevel, LogFormat.text, clock),
       bounds: replayBounds,
       token: () => token,
-      resign: (reason) => this.resignations.push(reason),
+      // As the election does: the term ends before the call returns.
+      resign: (reason) => {
+        this.terms.get(token)?.[Symbol.dispose]();
+        if (token === this.currentToken) {
+          this.resignations.push(reason);
+        }
+      },
       publish: () => {},
     };
   }
@@ -163,7 +202,7 @@
   /** Advances virtual time until all jobs have completed; false if they do not within the limit. */
   public async runUntilCompleted(limitMs: number): Promise<boolean> {
     const end = this.now + limitMs;
-    while ([...this.steps.keys()].some((id) => this.stateOf(id) !== JobState.completed)) {
+    while ([...this.jobSteps.keys()].some((id) => this.stateOf(id) !== JobState.completed)) {
       if (this.now >= end) {
         return false;
       }
@@ -173,18 +212,24 @@
   }
 
   /** Crashes a runner and starts it again under its id, `downMs` later. */
-  public async restart(runnerId: string, downMs: number, registeredAfterMs = 0): Promise<void> {
+  public restart(runnerId: string, downMs: number, registeredAfterMs = 0): void {
     const runner = this.pool.get(runnerId);
     const { entry } = runner;
+    this.pool.advance(this.now);
     runner.crash(this.now);
+    this.trace(
+      runnerId,
+      runnerId,
+      `crashed for ${downMs} ms, then registered ${registeredAfterMs} ms later`,
+    );
     this.staleEntries.set(runnerId, entry);
-    await this.run(downMs);
-    runner.restart(this.now, this.now);
-    setTimeout(() => this.staleEntries.delete(runnerId), registeredAfterMs);
+    setTimeout(() => runner.restart(this.now, this.now), downMs);
+    setTimeout(() => this.staleEntries.delete(runnerId), downMs + registeredAfterMs);
   }
 
   private listRunners(): ListedRunner[] {
     return this.pool.all
+      .filter(({ id }) => !this.unlistedRunners.has(id))
       .map(({ id, entry }) => this.staleEntries.get(id) ?? entry)
       .map((entry) => ({ ...entry, isDraining: this.drainingRunners.has(entry.id) }));
   }
@@ -195,6 +240,7 @@
       now: () => this.now,
       maxLeaseMs: replayBounds.maxLeaseMs,
       decideFate: this.options.decideFate ?? ((): CallFate => delivered),
+      trace: (call, text) => this.trace(call.runnerId, JSON.stringify(call), text),
       isCut: (runnerId) => this.cutRunners.has(runnerId),
       lateCallsOutliveProcess: false,
       createError: (kind, message) => new RunnerError(RunnerErrorKind[kind], message),
@@ -202,8 +248,7 @@
   }
 
   private behaviourOf(command: StartCommand): TaskBehaviour {
-    const stepIndex = Number(command.task.split('.')[2]);
-    const step = this.steps.get(command.jobId)?.[stepIndex] as Step;
+    const step = this.stepOf(command.task);
     return {
       size: step.size,
       ...(step.isGang ? { gangSize: step.count } : {}),
@@ -214,6 +259,30 @@
     };
   }
 
+  private trace(runnerId: string, subject: string, text: string): void {
+    this.traceLines.push({ runnerId, text: `${this.now} ${subject} ${text}` });
+  }
+
+  /** What is known of the violations that name a task: all that concerns it and its runners. */
+  public explain(violations: readonly string[]): string[] {
+    const tasks = violations.map((text) => text.split(':')[0] ?? '').filter((task) => task !== '');
+    const records = this.pool.records.filter(({ task }) => tasks.includes(task));
+    const runnerIds = new Set(records.map(({ runnerId }) => runnerId));
+    const isRelated = ({ runnerId, text }: TraceLine): boolean =>
+      tasks.some((task) => text.includes(task)) ||
+      (runnerIds.has(runnerId) && !text.includes('"task":'));
+    return [
+      ...records.map((record) => JSON.stringify(record)),
+      ...this.traceLines.filter(isRelated).map(({ text }) => text),
+    ];
+  }
+
+  /** The step of a task. */
+  public stepOf(task: string): Step {
+    const [id = '', , stepIndex] = task.split('.');
+    return this.jobSteps.get(id)?.[Number(stepIndex)] as Step;
+  }
+
   public [Symbol.dispose](): void {
     this.current?.[Symbol.dispose]();
     this.timers.uninstall();
@@ -343,7 +412,7 @@
   deployment.submit(jobId, [{ ...plainStep, ...wholeRunner, count: 2, isGang: true }]);
   deployment.takeOver();
   await deployment.run(100);
-  await deployment.restart('r2', 100);
+  deployment.restart('r2', 100);
   t.true(await deployment.runUntilCompleted(30_000));
   await deployment.run(10_000);
   t.deepEqual(findOverlaps(deployment.pool.records), []);
@@ -401,7 +470,7 @@
   deployment.takeOver();
   t.true(await deployment.runUntilCompleted(5_000));
   await deployment.run(1_000);
-  await deployment.restart('r1', 50, 5_000);
+  deployment.restart('r1', 50, 5_000);
   reportsToDrop = 1;
   deployment.submit('00000000000000bb', [plainStep]);
   t.true(await deployment.runUntilCompleted(10_000));
@@ -410,3 +479,154 @@
     [RunEnd.done, RunEnd.done],
   );
 });
+
+/** Seeds of the property test; RUN_SEEDS=FROM-TO plays others, 100 in about 40 s. */
+const ciSeeds = [3, 5, 8, 13, 15, 18, 23, 24, 38, 40, 43, 89];
+const seeds = readSeeds(process.env.RUN_SEEDS) ?? ciSeeds;
+
+function readSeeds(range: string | undefined): number[] | undefined {
+  const [from, to] = (range ?? '').split('-').map(Number);
+  return from === undefined || to === undefined
+    ? undefined
+    : Array.from({ length: to - from + 1 }, (_, index) => from + index);
+}
+
+/** Starts of tasks after the acknowledged end of a successful run. */
+function findRestartsAfterDone(records: readonly VirtualRunRecord[]): string[] {
+  return records
+    .filter(({ end, acknowledgedAt, hasLapsed }) => {
+      const isAcknowledged = acknowledgedAt !== Infinity && !hasLapsed;
+      return end === RunEnd.done && isAcknowledged;
+    })
+    .flatMap((done) =>
+      records
+        .filter(({ task, startedAt }) => task === done.task && startedAt > done.endedAt)
+        .map(({ task, run }) => `${task}: run ${run} after run ${done.run} was done`),
+    );
+}
+
+/** Milliseconds between two draws of faults. */
+const faultIntervalMs = 100;
+/** Milliseconds for which faults are drawn. */
+const faultyMs = 25_000;
+/** Probability of each fault per interval, and its duration in milliseconds. */
+const periodFaults = {
+  cut: { rate: 0.008, durationMs: [300, 9_000] },
+  unhealthy: { rate: 0.008, durationMs: [200, 3_000] },
+  unlisted: { rate: 0.004, durationMs: [500, 6_000] },
+  restart: { rate: 0.004, durationMs: [20, 4_000] },
+} as const;
+const takeOverRate = 0.012;
+const wallStepRate = 0.004;
+const maxWallStepMs = 3_000;
+
+type Period = readonly [min: number, max: number];
+
+/** Draws jobs and faults from a seed and plays them; returns what broke the invariants. */
+async function playSeed(seed: number, log: (line: string) => void): Promise<string[]> {
+  const random = new Random(seed);
+  const between = ([min, max]: Period): number => min + random.below(max - min);
+  const rates = { dropped: 0.05, answerLost: 0.05, late: 0.1, refused: 0.05 };
+  const fates = new RandomCallFates(random, rates);
+  const durations = new Map<string, number>();
+  const broken: string[] = [];
+  using deployment = new VirtualDeployment({
+    runners: 4 + random.below(5),
+    guardsCapacity: random.below(2) === 0,
+    queue: { ...queue, maxAttempts: 1_000 },
+    decideFate: (call) => fates.decide(call),
+    behave: ({ jobId: id }) => {
+      const durationMs = durations.get(id) ?? 0;
+      const isFailing = fates.isActive && random.fraction() < 0.05;
+      return {
+        durationMs,
+        stopMs: between([10, replayBounds.stopMs]),
+        ...(isFailing ? { failsAfterMs: 1 + random.below(durationMs) } : {}),
+      };
+    },
+  });
+  const { pool } = deployment;
+  pool.onStart((runner, { record }) => {
+    const stepName = record.task.slice(0, record.task.lastIndexOf('.') + 1);
+    const { perRunnerLimit = Infinity } = deployment.stepOf(record.task);
+    const present = runner.activeRuns.filter((run) => run.record.task.startsWith(stepName));
+    if (present.length > perRunnerLimit) {
+      broken.push(`${record.task}: ${present.length} tasks of its step on ${runner.id}`);
+    }
+  });
+  const submit = (index: number): void => {
+    const id = index.toString(16).padStart(16, '0');
+    durations.set(id, between([200, 4_000]));
+    const accelerators = 1 + random.below(4);
+    const step = {
+      size: { cpu: 1_000, memoryMb: 1_000, accelerators },
+      count: 1 + random.below(4),
+      declaredMs: durations.get(id) ?? 0,
+      savesProgress: random.below(3) === 0,
+      ...(random.below(3) === 0 ? { perRunnerLimit: 1 } : {}),
+    };
+    const isGang = step.count > 1 && random.below(2) === 0;
+    deployment.submit(id, [{ ...step, isGang }]);
+  };
+  const beginFaults = (): void => {
+    pool.all.forEach((runner) => {
+      const isDrawn = (kind: keyof typeof periodFaults): boolean =>
+        random.fraction() < periodFaults[kind].rate;
+      const durationOf = (kind: keyof typeof periodFaults): number =>
+        between(periodFaults[kind].durationMs);
+      if (isDrawn('cut')) {
+        deployment.cutRunners.add(runner.id);
+        setTimeout(() => deployment.cutRunners.delete(runner.id), durationOf('cut'));
+      }
+      if (isDrawn('unhealthy')) {
+        runner.isUnhealthy = true;
+        setTimeout(() => {
+          runner.isUnhealthy = false;
+        }, durationOf('unhealthy'));
+      }
+      if (isDrawn('unlisted')) {
+        deployment.unlistedRunners.add(runner.id);
+        setTimeout(() => deployment.unlistedRunners.delete(runner.id), durationOf('unlisted'));
+      }
+      if (runner.isUp && isDrawn('restart')) {
+        deployment.restart(runner.id, durationOf('restart'), between([0, 2_000]));
+      }
+    });
+    if (random.fraction() < takeOverRate) {
+      deployment.takeOver();
+    }
+    if (random.fraction() < wallStepRate) {
+      deployment.wallOffsetMs += random.below(maxWallStepMs);
+    }
+  };
+  const jobCount = 36;
+  deployment.takeOver();
+  for (let elapsedMs = 0; elapsedMs < faultyMs; elapsedMs += faultIntervalMs) {
+    const submitted = durations.size;
+    if (submitted < jobCount && submitted * faultyMs <= jobCount * elapsedMs * 2) {
+      submit(submitted + 1);
+    }
+    beginFaults();
+    await deployment.run(faultIntervalMs);
+  }
+  fates.isActive = false;
+  if (!(await deployment.runUntilCompleted(90_000))) {
+    broken.push('not all jobs completed after the faults');
+  }
+  await deployment.run(15_000);
+  broken.push(...deployment.resignations.map((reason) => `resigned: ${reason}`));
+  broken.push(...findOverlaps(pool.records), ...findRestartsAfterDone(pool.records));
+  if (isTraced) {
+    deployment.explain(broken).forEach(log);
+  }
+  return broken;
+}
+
+test.serial('runs of a task never overlap under random faults', async (t) => {
+  const violations: string[] = [];
+  for (const seed of seeds) {
+    const broken = await playSeed(seed, (line) => t.log(line));
+    violations.push(...broken.map((text) => `seed ${seed}: ${text}`));
+  }
+  t.deepEqual(violations, []);
+});
--- a/packages/testing/src/CallFate.ts
+++ b/packages/testing/src/CallFate.ts
@@ -9,9 +9,11 @@
   readonly runnerId: string;
   /** Time at which the call is sent, in virtual milliseconds. */
   readonly sentAt: number;
-  /** Task of a start or stop. */
+  /** Task and run of a start or stop. */
   readonly task?: string;
   readonly run?: number;
+  /** Last acknowledged end of a report. */
+  readonly acknowledgedEnd?: number;
 }
 
 /** What becomes of a call to a virtual runner. */
--- a/packages/testing/src/VirtualRunnerClient.ts
+++ b/packages/testing/src/VirtualRunnerClient.ts
@@ -23,6 +23,8 @@
   readonly isCut: (runnerId: string) => boolean;
   /** Whether a late call is also executed by a process that started after it was sent. */
   readonly lateCallsOutliveProcess: boolean;
+  /** Receives a line for each call that is sent and for each that is executed. */
+  readonly trace?: (call: VirtualCall, text: string) => void;
   readonly createError: (kind: VirtualCallErrorKind, message: string) => E;
 }
 
@@ -100,11 +102,13 @@
   ): Promise<Result<RunnerReport, E>> {
     const requestedAt = this.options.clock.monotonic();
     const leaseDeadline = request.extendsLease ? this.leaseDeadline(runner) : undefined;
+    const { acknowledgedEnd } = request;
+    const sentAt = this.options.now();
     const answer = await this.call<boolean | VirtualReport | StartOutcome>(
-      { kind: CallKind.report, runnerId: runner.id, sentAt: this.options.now() },
+      { kind: CallKind.report, runnerId: runner.id, sentAt, acknowledgedEnd },
       deadline,
       (target, now) =>
-        target.acknowledge(request.token, request.acknowledgedEnd, leaseDeadline, now) &&
+        target.acknowledge(request.token, acknowledgedEnd, leaseDeadline, now) &&
         target.report(now),
       request.waitMs,
     );
@@ -140,6 +144,7 @@
     const target = this.pool.get(call.runnerId);
     const { processStartedAt } = target;
     const fate = this.options.decideFate(call);
+    this.options.trace?.(call, `sent, ${JSON.stringify(fate)}`);
     if (this.options.isCut(call.runnerId)) {
       return expired;
     }
@@ -148,7 +153,9 @@
       this.pool.advance(now);
       const isReached =
         target.isUp && (!isBoundToProcess || target.processStartedAt === processStartedAt);
-      return isReached ? execute(target, now) : undefined;
+      const answer = isReached ? execute(target, now) : undefined;
+      this.options.trace?.(call, `executed, ${JSON.stringify(answer)}`);
+      return answer;
     };
     if (fate.kind === 'late') {
       setTimeout(() => executeNow(!this.options.lateCallsOutliveProcess), fate.lateMs);
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,6 +1,7 @@
 /** Fake servers of the platform, simulations and fixtures for tests. */
 export { CallKind } from './CallFate.js';
 export type { CallFate, VirtualCall } from './CallFate.js';
+export { RandomCallFates } from './RandomCallFates.js';
 export type { TaskBehaviour } from './TaskBehaviour.js';
 export { VirtualCoordinationStore } from './VirtualCoordinationStore.js';
 export { VirtualRunner } from './VirtualRunner.js';
