--- a/packages/testing/src/VirtualRun.ts
+++ b/packages/testing/src/VirtualRun.ts
@@ -14,7 +14,8 @@
 
   public end: RunEnd = RunEnd.done;
 
-  public isStopping = false;
+  /** Time from which no more work is done; Infinity unless the run is being stopped. */
+  private stoppedAt = Infinity;
 
   public constructor(
     public readonly record: VirtualRunRecord,
@@ -37,6 +38,15 @@
     this.endsAt = at;
   }
 
+  public get isStopping(): boolean {
+    return this.stoppedAt !== Infinity;
+  }
+
+  public stop(now: number): void {
+    this.stoppedAt = now;
+    this.headFor(RunEnd.stopped, now + this.behaviour.stopMs);
+  }
+
   public percentAt(now: number): number {
     return Math.floor((completePercent * this.workedMs(now)) / this.behaviour.durationMs);
   }
@@ -48,7 +58,7 @@
   }
 
   private workedMs(now: number): number {
-    const worked = this.savedMs + Math.max(0, now - this.workStartsAt);
+    const worked = this.savedMs + Math.max(0, Math.min(now, this.stoppedAt) - this.workStartsAt);
     return Math.min(this.behaviour.durationMs, worked);
   }
 }
--- a/packages/testing/src/VirtualRunner.ts
+++ b/packages/testing/src/VirtualRunner.ts
@@ -182,8 +182,7 @@
     this.closedRuns.set(task, Math.max(run, this.closedRuns.get(task) ?? 0));
     const present = this.runs.get(`${task}#${run}`);
     if (present !== undefined && !present.isStopping) {
-      present.isStopping = true;
-      present.headFor(RunEnd.stopped, now + present.behaviour.stopMs);
+      present.stop(now);
       this.observer.recordStop(present);
     }
     return true;
