Instance: tests of the limit of tasks per runner, and of long lists of ends

- A start is not answered, its retry is refused for lack of capacity, and its place goes to another task of the step; the late first call then exceeds the limit of tasks per runner.
- More than 500 ends: those that the report does not list yet are taken for missing runs, and the tasks run again after they were done.
- RUN_LATE=outlive lets late calls reach a restarted process.

--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -2,7 +2,7 @@
 
 import type { Clock } from '@apricothoist/common';
 import { Random } from '@apricothoist/common';
-import type { ListedRunner, Queue, StartCommand, Step } from '@apricothoist/dispatch';
+import type { ListedRunner, Queue, Resources, StartCommand, Step } from '@apricothoist/dispatch';
 import { JobState, RunEnd, StartOutcome } from '@apricothoist/dispatch';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
 import type { CallFate, TaskBehaviour, VirtualCall, VirtualRunRecord } from '@apricothoist/testing';
@@ -44,6 +44,8 @@
 /** RUN_LOG=info prints the decisions and, for a failed seed, the calls that concern the task. */
 const isTraced = process.env.RUN_LOG === 'info';
 const logLevel = isTraced ? LogLevel.info : LogLevel.error;
+/** RUN_LATE=outlive lets late calls reach a process that started after they were sent. */
+const lateCallsOutliveProcess = process.env.RUN_LATE === 'outlive';
 const latencyMs = 2;
 /** Share of its time that the clock of a runner may lose. */
 const maxClockSlowness = 0.02;
@@ -59,6 +61,7 @@
 interface DeploymentOptions {
   readonly runners: number;
   readonly guardsCapacity?: boolean;
+  readonly capacity?: Resources;
   readonly decideFate?: (call: VirtualCall) => CallFate;
   readonly queue?: Queue;
   readonly durationMs?: number;
@@ -105,7 +108,7 @@
       this.pool.add(
         new VirtualRunner(
           {
-            entry: listedRunner(`r${number}`),
+            entry: listedRunner(`r${number}`, options.capacity && { capacity: options.capacity }),
             clockSlowness: 1 + (maxClockSlowness * number) / options.runners,
             maxLeaseMs: replayBounds.maxLeaseMs,
             guardsCapacity: options.guardsCapacity ?? true,
@@ -242,7 +245,7 @@
       decideFate: this.options.decideFate ?? ((): CallFate => delivered),
       trace: (call, text) => this.trace(call.runnerId, JSON.stringify(call), text),
       isCut: (runnerId) => this.cutRunners.has(runnerId),
-      lateCallsOutliveProcess: false,
+      lateCallsOutliveProcess,
       createError: (kind, message) => new RunnerError(RunnerErrorKind[kind], message),
     });
   }
@@ -305,6 +308,20 @@
   );
 }
 
+/** Collects the starts that exceed the limit of tasks of one step on a runner. */
+function watchRunnerLimits(deployment: VirtualDeployment): string[] {
+  const exceeded: string[] = [];
+  deployment.pool.onStart((runner, { record }) => {
+    const stepName = record.task.slice(0, record.task.lastIndexOf('.') + 1);
+    const { perRunnerLimit = Infinity } = deployment.stepOf(record.task);
+    const present = runner.activeRuns.filter((run) => run.record.task.startsWith(stepName));
+    if (present.length > perRunnerLimit) {
+      exceeded.push(`${record.task}: ${present.length} tasks of its step on ${runner.id}`);
+    }
+  });
+  return exceeded;
+}
+
 /** Decides the fates of the first start calls in order; all other calls are delivered. */
 function firstStarts(...fates: readonly CallFate[]): (call: VirtualCall) => CallFate {
   const remaining = [...fates];
@@ -345,6 +362,24 @@
   );
 });
 
+// The place of a run that is wrongly held to have ended goes to another task of its step.
+test.serial('a start executed late does not exceed the limit of tasks per runner', async (t) => {
+  using deployment = new VirtualDeployment({
+    runners: 2,
+    durationMs: 5_000,
+    decideFate: firstStarts({ kind: 'late', lateMs: 3_000 }, delivered, {
+      kind: 'refused',
+      outcome: StartOutcome.noCapacity,
+      latencyMs,
+    }),
+  });
+  const exceeded = watchRunnerLimits(deployment);
+  deployment.submit(jobId, [{ ...plainStep, count: 3, perRunnerLimit: 1 }]);
+  deployment.takeOver();
+  t.true(await deployment.runUntilCompleted(60_000));
+  t.deepEqual(exceeded, []);
+});
+
 [RunEnd.done, RunEnd.failed].forEach((end) => {
   // The runner refuses the retry as outdated because the first call was executed.
   test.serial(`the end of a run whose start was not answered is not lost: ${end}`, async (t) => {
@@ -453,6 +488,32 @@
   t.deepEqual(findOverlaps(deployment.pool.records), []);
 });
 
+test.serial(
+  'ends beyond the longest list of a report are not taken for missing runs',
+  async (t) => {
+    const taskCount = 510;
+    let reportsToDrop = 0;
+    using deployment = new VirtualDeployment({
+      runners: 1,
+      capacity: { cpu: 1_000_000, memoryMb: 1_000_000, accelerators: 1_000 },
+      durationMs: 300,
+      decideFate: ({ kind }) => {
+        if (kind === CallKind.report && reportsToDrop > 0) {
+          reportsToDrop -= 1;
+          return { kind: 'dropped' };
+        }
+        return delivered;
+      },
+    });
+    deployment.takeOver();
+    await deployment.run(500);
+    reportsToDrop = 1;
+    deployment.submit(jobId, [{ ...plainStep, count: taskCount }]);
+    t.true(await deployment.runUntilCompleted(30_000));
+    t.is(deployment.pool.records.length, taskCount);
+  },
+);
+
 test.serial('an end on a restarted runner is not lost to an earlier acknowledgement', async (t) => {
   let reportsToDrop = 0;
   using deployment = new VirtualDeployment({
@@ -546,14 +607,7 @@
     },
   });
   const { pool } = deployment;
-  pool.onStart((runner, { record }) => {
-    const stepName = record.task.slice(0, record.task.lastIndexOf('.') + 1);
-    const { perRunnerLimit = Infinity } = deployment.stepOf(record.task);
-    const present = runner.activeRuns.filter((run) => run.record.task.startsWith(stepName));
-    if (present.length > perRunnerLimit) {
-      broken.push(`${record.task}: ${present.length} tasks of its step on ${runner.id}`);
-    }
-  });
+  const exceeded = watchRunnerLimits(deployment);
   const submit = (index: number): void => {
     const id = index.toString(16).padStart(16, '0');
     durations.set(id, between([200, 4_000]));
@@ -615,7 +669,7 @@
   }
   await deployment.run(15_000);
   broken.push(...deployment.resignations.map((reason) => `resigned: ${reason}`));
-  broken.push(...findOverlaps(pool.records), ...findRestartsAfterDone(pool.records));
+  broken.push(...exceeded, ...findOverlaps(pool.records), ...findRestartsAfterDone(pool.records));
   if (isTraced) {
     deployment.explain(broken).forEach(log);
   }
