Instance: tests of a deadline on a former clock and of a runner listed again

- A runner restarts unnoticed.
The deadline of the next report is a time on the clock of the former process, which is ahead; executed late, the report extends the lease beyond the computed end, and the next run overlaps.
- A runner is listed again while the step that removed it stores its changes.
The link keeps the removed runner, so the new one is never fenced nor used.
No overlap, but jobs that need it wait until the next takeover.

--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 
 import type { Clock } from '@apricothoist/common';
-import { Random } from '@apricothoist/common';
+import { delay, Random } from '@apricothoist/common';
 import type { ListedRunner, Queue, Resources, StartCommand, Step } from '@apricothoist/dispatch';
 import { JobState, RunEnd, StartOutcome } from '@apricothoist/dispatch';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
@@ -168,7 +168,12 @@
     const clock = new SuspendAwareClock(steadyClock);
     return {
       store: this.store,
-      registry: { list: async () => ok(this.listRunners()) },
+      registry: {
+        list: async () => {
+          await delay(this.store.callMs);
+          return ok(this.listRunners());
+        },
+      },
       runners: this.createClient(clock),
       clock,
       random: new Random(token),
@@ -488,31 +493,74 @@
   t.deepEqual(findOverlaps(deployment.pool.records), []);
 });
 
-test.serial(
-  'ends beyond the longest list of a report are not taken for missing runs',
-  async (t) => {
-    const taskCount = 510;
-    let reportsToDrop = 0;
-    using deployment = new VirtualDeployment({
-      runners: 1,
-      capacity: { cpu: 1_000_000, memoryMb: 1_000_000, accelerators: 1_000 },
-      durationMs: 300,
-      decideFate: ({ kind }) => {
-        if (kind === CallKind.report && reportsToDrop > 0) {
-          reportsToDrop -= 1;
-          return { kind: 'dropped' };
-        }
-        return delivered;
-      },
-    });
-    deployment.takeOver();
-    await deployment.run(500);
-    reportsToDrop = 1;
-    deployment.submit(jobId, [{ ...plainStep, count: taskCount }]);
-    t.true(await deployment.runUntilCompleted(30_000));
-    t.is(deployment.pool.records.length, taskCount);
-  },
-);
+// The deadline is a time on the clock of the former process, which was ahead.
+test.serial('a late call to a restarted runner does not outlast the computed lease', async (t) => {
+  let reportsToDelay = 0;
+  using deployment = new VirtualDeployment({
+    runners: 2,
+    durationMs: 20_000,
+    decideFate: ({ kind }) => {
+      if (kind === CallKind.report && reportsToDelay > 0) {
+        reportsToDelay -= 1;
+        return { kind: 'late', lateMs: 5_000 };
+      }
+      return delivered;
+    },
+  });
+  deployment.takeOver();
+  await deployment.run(1_000);
+  deployment.restart('r1', 50, 20_000);
+  await deployment.run(200);
+  reportsToDelay = 1;
+  deployment.submit(jobId, [plainStep]);
+  await deployment.run(200);
+  t.is(deployment.pool.records.length, 1);
+  deployment.cutRunners.add('r1');
+  t.true(await deployment.runUntilCompleted(90_000));
+  t.deepEqual(findOverlaps(deployment.pool.records), []);
+});
+
+// The registry lists the runner again while the step that removed it stores its changes.
+test.serial('a runner that is listed again right after its removal is used again', async (t) => {
+  using deployment = new VirtualDeployment({ runners: 1, durationMs: 3_000 });
+  deployment.submit(jobId, [plainStep]);
+  deployment.takeOver();
+  await deployment.run(1_000);
+  deployment.store.callMs = 600;
+  deployment.cutRunners.add('r1');
+  deployment.unlistedRunners.add('r1');
+  const { runners } = deployment.scheduling.dispatcher.state;
+  while (runners.has('r1') && deployment.now < 1_020_000) {
+    await deployment.run(1);
+  }
+  t.false(runners.has('r1'));
+  deployment.unlistedRunners.delete('r1');
+  deployment.cutRunners.delete('r1');
+  t.true(await deployment.runUntilCompleted(60_000));
+});
+
+test.serial('ends beyond the longest list are not taken for missing runs', async (t) => {
+  const taskCount = 510;
+  let reportsToDrop = 0;
+  using deployment = new VirtualDeployment({
+    runners: 1,
+    capacity: { cpu: 1_000_000, memoryMb: 1_000_000, accelerators: 1_000 },
+    durationMs: 300,
+    decideFate: ({ kind }) => {
+      if (kind === CallKind.report && reportsToDrop > 0) {
+        reportsToDrop -= 1;
+        return { kind: 'dropped' };
+      }
+      return delivered;
+    },
+  });
+  deployment.takeOver();
+  await deployment.run(500);
+  reportsToDrop = 1;
+  deployment.submit(jobId, [{ ...plainStep, count: taskCount }]);
+  t.true(await deployment.runUntilCompleted(30_000));
+  t.is(deployment.pool.records.length, taskCount);
+});
 
 test.serial('an end on a restarted runner is not lost to an earlier acknowledgement', async (t) => {
   let reportsToDrop = 0;
--- a/packages/testing/src/VirtualCoordinationStore.ts
+++ b/packages/testing/src/VirtualCoordinationStore.ts
@@ -23,8 +23,6 @@
   | { readonly isCommitted: true; readonly revision: number }
   | { readonly isCommitted: false; readonly items: readonly Item[] };
 
-/** Milliseconds that each call takes. */
-const callMs = 2;
 /** Interval in milliseconds at which a watch looks for changes. */
 const watchPollMs = 10;
 
@@ -32,6 +30,9 @@
 export class VirtualCoordinationStore {
   public readonly maxTransactionEntries = 32;
 
+  /** Milliseconds that each call takes. */
+  public callMs = 2;
+
   private readonly items = new Map<string, Item>();
 
   private readonly leases = new Set<number>();
@@ -46,13 +47,13 @@
   }
 
   public async read(key: string): Promise<Result<Item | undefined, never>> {
-    await delay(callMs);
+    await delay(this.callMs);
     const item = this.items.get(key);
     return ok(item?.value === undefined ? undefined : item);
   }
 
   public async list(prefix: string): Promise<Result<Items, never>> {
-    await delay(callMs);
+    await delay(this.callMs);
     const items = this.changes(prefix, 0).filter(({ value }) => value !== undefined);
     return ok({ items, revision: this.revision });
   }
@@ -68,7 +69,7 @@
   }
 
   public async commit(transaction: Transaction): Promise<Result<CommitResult, never>> {
-    await delay(callMs);
+    await delay(this.callMs);
     const { expect, writes, deletes = [] } = transaction;
     const revisionOf = (key: string): number => {
       const item = this.items.get(key);
--- a/packages/testing/src/VirtualRunnerClient.ts
+++ b/packages/testing/src/VirtualRunnerClient.ts
@@ -49,9 +49,9 @@
 /**
  * Client of the virtual runners of one instance, in virtual time: uses the global timers.
  *
- * Lease deadlines are computed from the last reading of the runner's clock, of the same incarnation
- * and less the allowed drift. This is stricter than required: no deadline is beyond the longest
- * lease, so a run outlasts it only by a fault of the caller.
+ * Lease deadlines are computed from the last reading of the clock of the incarnation that the caller
+ * knows, less the allowed drift. This is stricter than required: no deadline is beyond the longest
+ * lease, except at a process that has started since, whose clock the caller does not know yet.
  *
  * The contract does not say whether a call in flight outlives the process that it was sent to;
  * `lateCallsOutliveProcess` chooses.
