Soak: late calls, refusals, lost responses and unregistered restarts of runners

Faults of calls can be active on one runner at the same time, and the first one that befalls a call decides its fate. The final check waits until late calls are carried out and a lease has passed; without late calls it waits for nothing.

--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,7 +1,7 @@
 import type { Random } from '@apricothoist/common';
 import { delay } from '@apricothoist/common';
-import type { InstanceProcess, TestDeployment } from '@apricothoist/site/testing';
-import { StoreMode } from '@apricothoist/site/testing';
+import type { CallFaultShares, InstanceProcess, TestDeployment } from '@apricothoist/site/testing';
+import { CallFaults, RunnerCall, StoreMode } from '@apricothoist/site/testing';
 import { RelayMode } from '@apricothoist/testing';
 
 /** Deployment that a fault acts on, and its source of randomness. */
@@ -103,3 +103,38 @@
     runner.register(deployment.store, 'ready');
   },
 };
+
+// Befalls calls to one runner or, as often, to all of them.
+async function disruptCalls(
+  { deployment, random }: FaultContext,
+  shares: Partial<Record<RunnerCall, CallFaultShares>>,
+): Promise<void> {
+  const callFaults = new CallFaults(() => random.fraction(), shares);
+  const isEverywhere = random.fraction() < 0.5;
+  const runners = isEverywhere ? deployment.runners : [random.pick(deployment.runners)];
+  runners.forEach((runner) => runner.callFaults.add(callFaults));
+  await delay(500 + random.below(6_000));
+  runners.forEach((runner) => runner.callFaults.delete(callFaults));
+}
+
+function sharesOfAllCalls(shares: CallFaultShares): Partial<Record<RunnerCall, CallFaultShares>> {
+  return Object.fromEntries(Object.values(RunnerCall).map((call) => [call, shares]));
+}
+
+/** Faults of single calls to runners, and a restart that the registry shows late. */
+export const callFaults: Readonly<Record<string, Fault>> = {
+  lateStarts: (context) => disruptCalls(context, { [RunnerCall.start]: { late: 0.5 } }),
+  lateOrRefusedStarts: (context) =>
+    disruptCalls(context, { [RunnerCall.start]: { late: 0.4, refused: 0.4 } }),
+  lateStops: (context) => disruptCalls(context, { [RunnerCall.stop]: { late: 0.6 } }),
+  lateReports: (context) => disruptCalls(context, { [RunnerCall.report]: { late: 0.4 } }),
+  lateCalls: (context) => disruptCalls(context, sharesOfAllCalls({ late: 0.3, refused: 0.3 })),
+  refusedCalls: (context) => disruptCalls(context, sharesOfAllCalls({ refused: 0.5 })),
+  lostResponses: (context) => disruptCalls(context, sharesOfAllCalls({ responseLost: 0.4 })),
+  restartRunnerUnregistered: async ({ deployment, random }) => {
+    const runner = random.pick(deployment.runners);
+    runner.restart();
+    await delay(1_500 + random.below(5_000));
+    runner.register(deployment.store, 'ready');
+  },
+};
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,4 +1,5 @@
 import { writeFileSync } from 'node:fs';
+import path from 'node:path';
 import process from 'node:process';
 
 import { messageOf } from '@apricothoist/common';
@@ -27,6 +28,12 @@
     default: 12,
     describe: 'seconds during which faults are injected',
   })
+  .option('calls', {
+    type: 'boolean',
+    default: true,
+    describe: 'also inject faults of calls to runners; --no-calls runs a seed as before them',
+  })
+  .option('logs', { type: 'string', default: '.', describe: 'directory for logs of failed seeds' })
   .option('jobs', { type: 'number', default: 3, describe: 'seeds that run concurrently' })
   .strict()
   .parseAsync();
@@ -37,9 +44,10 @@
 
 // A seed whose run throws counts as failed and does not abort the other seeds.
 async function runSeedOrReport(seed: number): Promise<SoakResult> {
-  const { instances, runners, clients, seconds } = options;
+  const { instances, runners, clients, seconds, calls: disruptsCalls } = options;
+  const faultMs = seconds * 1_000;
   try {
-    return await runSeed({ seed, instances, runners, clients, faultMs: seconds * 1_000 });
+    return await runSeed({ seed, instances, runners, clients, faultMs, disruptsCalls });
   } catch (error) {
     const violations = [`run aborted: ${messageOf(error)}`];
     return { seed, faults: [], jobs: 0, accepted: 0, violations, logs: '' };
@@ -59,7 +67,7 @@
     if (result.violations.length > 0) {
       failures += 1;
       result.violations.forEach((line) => console.log(`  ${line}`));
-      writeFileSync(`soak-${seed}.log`, result.logs);
+      writeFileSync(path.join(options.logs, `soak-${seed}.log`), result.logs);
     }
   }
 }
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -3,7 +3,7 @@
 import { TestDeployment, StoreMode } from '@apricothoist/site/testing';
 
 import type { Fault } from './faults.js';
-import { faults } from './faults.js';
+import { callFaults, faults } from './faults.js';
 import { JobClients } from './JobClients.js';
 
 export interface SoakOptions {
@@ -13,6 +13,8 @@
   readonly clients: number;
   /** Milliseconds during which faults are injected. */
   readonly faultMs: number;
+  /** Whether further series of faults befall calls to runners. */
+  readonly disruptsCalls: boolean;
 }
 
 export interface SoakResult {
@@ -27,11 +29,15 @@
 
 /** Number of concurrent series of faults. */
 const concurrentFaultSeries = 2;
+/** Number of further series, of faults of calls to runners. */
+const concurrentCallFaultSeries = 2;
 /** Interval at which exited processes are restarted, as the platform does, in milliseconds. */
 const restartIntervalMs = 200;
 /** Milliseconds within which every accepted job has to end once no fault is active any more. */
 const settleTimeoutMs = 30_000;
 const maxAttempts = 3;
+/** Longest lease in milliseconds on a runner with a slow clock. */
+const leaseMs = 6_200;
 
 /** Runs one seed: real processes under load, with concurrent series of random faults. */
 export async function runSeed(options: SoakOptions): Promise<SoakResult> {
@@ -47,17 +53,26 @@
   );
   const injectedFaults: string[] = [];
   const endBy = Date.now() + options.faultMs;
-  const injectFaults = async (): Promise<void> => {
+  const injectFaults = async (
+    kinds: Readonly<Record<string, Fault>>,
+    source: Random,
+  ): Promise<void> => {
     while (Date.now() < endBy) {
-      const name = random.pick(Object.keys(faults));
+      const name = source.pick(Object.keys(kinds));
       injectedFaults.push(name);
-      await (faults[name] as Fault)({ deployment, random });
-      await delay(random.below(800));
+      await (kinds[name] as Fault)({ deployment, random: source });
+      await delay(source.below(800));
     }
   };
-  await Promise.all(Array.from({ length: concurrentFaultSeries }, injectFaults));
+  const callRandom = new Random(options.seed + 3);
+  const callSeries = options.disruptsCalls ? concurrentCallFaultSeries : 0;
+  await Promise.all([
+    ...Array.from({ length: concurrentFaultSeries }, () => injectFaults(faults, random)),
+    ...Array.from({ length: callSeries }, () => injectFaults(callFaults, callRandom)),
+  ]);
   deployment.store.mode = StoreMode.up;
   await clients.stop();
+  await waitForLateCalls(deployment);
   const violations = [...clients.violations, ...(await checkReadiness(deployment))];
   violations.push(...(await checkJobs(deployment, clients)));
   violations.push(...deployment.findInvariantViolations());
@@ -72,6 +87,18 @@
   };
 }
 
+/** Waits until all late calls are carried out and what they started has ended or is renewed. */
+async function waitForLateCalls({ runners }: TestDeployment): Promise<void> {
+  const hasLateCalls = (): boolean => runners.some(({ lateCallCount }) => lateCallCount > 0);
+  if (!hasLateCalls()) {
+    return;
+  }
+  while (hasLateCalls()) {
+    await delay(100);
+  }
+  await delay(leaseMs);
+}
+
 async function checkReadiness(deployment: TestDeployment): Promise<string[]> {
   const results = await Promise.allSettled(
     deployment.instances.map((instance) => deployment.waitUntilReady(instance)),
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -2,8 +2,8 @@
 
 import { runSeed } from './runSeed.js';
 
-const shortRun = { instances: 3, runners: 4, clients: 4, faultMs: 6_000 };
-const defaultRun = { instances: 4, runners: 6, clients: 6, faultMs: 12_000 };
+const shortRun = { instances: 3, runners: 4, clients: 4, faultMs: 6_000, disruptsCalls: false };
+const defaultRun = { instances: 4, runners: 6, clients: 6, faultMs: 12_000, disruptsCalls: false };
 
 /** Seeds that are run with the short options. */
 const seeds = [1, 2];
