--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -23,7 +23,7 @@
   readonly jobs: number;
   readonly accepted: number;
   readonly violations: readonly string[];
-  /** Logs of all instances if an invariant was violated; empty otherwise. */
+  /** Logs of all instances and runners if an invariant was violated; empty otherwise. */
   readonly logs: string;
 }
 
@@ -83,7 +83,7 @@
     jobs: clients.jobs.length,
     accepted: clients.jobs.filter((job) => job.isAccepted).length,
     violations,
-    logs: violations.length > 0 ? deployment.logs : '',
+    logs: violations.length > 0 ? `${deployment.logs}\n${deployment.runnerTrace}` : '',
   };
 }
 
