Instance: the property test checks the capacity of runners; more seeds

A start that brings a runner which doesn't guard its capacity over it is a violation as well.

Command: npx ava packages/instance/dist/runOverlap.test.js; RUN_SEEDS=1-150.

--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -313,7 +313,7 @@
   );
 }
 
-/** Collects the starts that exceed the limit of tasks of one step on a runner. */
+/** Collects the starts that exceed the limit of tasks of one step on a runner, or its capacity. */
 function watchRunnerLimits(deployment: VirtualDeployment): string[] {
   const exceeded: string[] = [];
   deployment.pool.onStart((runner, { record }) => {
@@ -323,6 +323,10 @@
     if (present.length > perRunnerLimit) {
       exceeded.push(`${record.task}: ${present.length} tasks of its step on ${runner.id}`);
     }
+    const used = runner.activeRuns.reduce((sum, run) => sum + run.behaviour.size.accelerators, 0);
+    if (used > runner.capacity.accelerators) {
+      exceeded.push(`${record.task}: ${used} accelerators used on ${runner.id}`);
+    }
   });
   return exceeded;
 }
@@ -590,7 +594,7 @@
 });
 
 /** Seeds of the property test; RUN_SEEDS=FROM-TO plays others, 100 in about 40 s. */
-const ciSeeds = [3, 5, 8, 13, 15, 18, 23, 24, 38, 40, 43, 89];
+const ciSeeds = [3, 5, 8, 13, 15, 17, 18, 23, 24, 38, 40, 43, 50, 89, 177];
 const seeds = readSeeds(process.env.RUN_SEEDS) ?? ciSeeds;
 
 function readSeeds(range: string | undefined): number[] | undefined {
