--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -211,14 +211,14 @@
   }
 }
 
-/** Monotonic clocks of runners may run slow by up to this factor, by the platform's contract. */
-const slowClockFactor = 1.02;
+/** Lowest rate of a runner's clock against the steady clock of an instance. */
+export const slowestClockRate = 0.98;
 /** Milliseconds until an ended lease counts as expired, to allow for late timers on the runner. */
 const leaseSlackMs = 150;
 
 /** Records that a call is being sent that extends leases on the runner or starts a task there. */
 export function extendLease(runner: Runner, bounds: DispatchBounds, steadyNow: number): void {
-  const maxDurationMs = bounds.maxLeaseMs * slowClockFactor + leaseSlackMs;
+  const maxDurationMs = bounds.maxLeaseMs / slowestClockRate + leaseSlackMs;
   runner.leaseEnd = Math.max(runner.leaseEnd, steadyNow + maxDurationMs);
 }
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -21,6 +21,7 @@
 export { RunEnd } from './TaskGroupLifecycle.js';
 export { RunCounters } from './RunCounters.js';
 export type { EndedTask, RunnerReport, RunningTask } from './ReportHandler.js';
+export { slowestClockRate } from './Runner.js';
 export type { ListedRunner, Runner } from './Runner.js';
 export type { JobRun } from './JobRun.js';
 export { createProgressRecord } from './ProgressRecord.js';
