Send a start only to a confirmed runner, and go on extending leases while ends wait for the store

The wait for the confirmation ended also when the report call had failed, and the start was sent all the same, as only the accepted token was asked about; repetitions were not confirmed at all. And a confirmation of 250 ms is shorter than the 500 ms for which a link waits for the store, so that no call extended the leases while ends were being stored. Now the confirmation is asked for before each call of a start, and a failed one ends the attempt without a call; a confirmation holds for 600 ms, and a link waits for the store only after a confirmed call.

--- a/packages/dispatch/src/RunHistory.test.ts
+++ b/packages/dispatch/src/RunHistory.test.ts
@@ -51,3 +51,18 @@
   t.true(isEndedBy(history, EndEvidence.leaseExpired, 501));
   t.true(isEndedBy(history, EndEvidence.reported, 0));
 });
+
+test('a restart takes back the proof for a run with an open call only', (t) => {
+  const stopped = RunHistory.forStart();
+  stopped.recordStartOutcomes([unknown], 100);
+  stopped.recordReportable(200);
+  stopped.recordRestart();
+  t.true(stopped.needsStop);
+  t.false(isEndedBy(stopped, EndEvidence.absent, 1_000));
+  stopped.recordReportable(1_100);
+  t.true(isEndedBy(stopped, EndEvidence.absent, 1_200));
+  const answered = RunHistory.forStart();
+  answered.recordStartOutcomes([started], 100);
+  answered.recordRestart();
+  t.true(isEndedBy(answered, EndEvidence.absent, 1_000));
+});
--- a/packages/dispatch/src/strayRuns.test.ts
+++ b/packages/dispatch/src/strayRuns.test.ts
@@ -1,6 +1,8 @@
 import { DispatchFixture, fixtureStep, runningTask } from '@apricothoist/testing';
 import test from 'ava';
 
+import { StartOutcome } from './StartOutcome.js';
+
 const single = {
   ...fixtureStep,
   count: 1,
@@ -55,3 +57,16 @@
   fixture.dispatcher.applyReport('r1', earlier, fixture.now);
   t.deepEqual(fixture.step().starts, []);
 });
+
+test('a runner is not used while a start may be executed there after its lease has expired', (t) => {
+  const fixture = new DispatchFixture([single], undefined, ['r1']);
+  fixture.report('r1');
+  const commands = fixture.step();
+  fixture.recordStartOutcomes(commands, StartOutcome.unknown);
+  fixture.dispatcher.recordUnansweredCall('r1');
+  fixture.step(6_400);
+  fixture.report('r1');
+  t.deepEqual(fixture.step(21_000).starts, [], 'the quarantine is over');
+  fixture.dispatcher.recordStopResponse('r1', commands.starts[0]?.task ?? '', 1, fixture.now);
+  t.is(fixture.step(200).starts.length, 1);
+});
--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -37,12 +37,13 @@
     const { runnerId, task, run } = command;
     const runner = this.dispatcher.state.runners.get(runnerId);
     const outcomes: StartOutcome[] = [];
-    // The run must not count as ended by its lease while the call waits for the confirmation.
-    this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
-    await this.owner.confirmRunner(runnerId);
     for (const attemptMs of startAttemptTimeoutsMs) {
+      // The run must not count as ended by its lease while the call waits for the confirmation.
+      this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
+      const isConfirmed = await this.owner.confirmRunner(runnerId);
       const { token } = this.owner;
-      if (runner === undefined || token === undefined || !this.dispatcher.mayStart(command)) {
+      const maySend = isConfirmed && token !== undefined && this.dispatcher.mayStart(command);
+      if (runner === undefined || !maySend) {
         break;
       }
       const sentAt = this.clock.monotonic();
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -25,10 +25,11 @@
 /** Timeout of the response in milliseconds, in addition to the wait. */
 const responseTimeoutMs = 600;
 /**
- * Milliseconds for which a report proves which incarnation of the runner responds. While a call is
- * open it is proven as well, because the call fails with the process.
+ * Milliseconds for which a report proves which incarnation of the runner responds; longer than the
+ * wait for the store, so that leases are extended after it. While a call is open the incarnation is
+ * proven as well, because the call fails with the process.
  */
-const confirmationMs = 250;
+const confirmationMs = 600;
 /** First and longest back-off in milliseconds after an unanswered call; the lease lasts seconds. */
 const firstRetryMs = 100;
 const maxRetryMs = 1_000;
@@ -46,8 +47,8 @@
   /** Ends the term: the runner has seen the token of a newer holder. */
   yieldToSuccessor(runnerId: string): void;
   reportUnansweredCall(runnerId: string, message: string): void;
-  /** Resolves once a report has confirmed the incarnation of the runner, or a call has failed. */
-  confirmRunner(runnerId: string): Promise<void>;
+  /** Resolves to whether a report confirms the present incarnation of the runner. */
+  confirmRunner(runnerId: string): Promise<boolean>;
   /** Reports the outcomes of all calls of a start command of which one got no answer. */
   reportUnsettledStart(command: StartCommand, outcomes: readonly StartOutcome[]): void;
 }
@@ -70,6 +71,9 @@
   /** Whether a call is open that was sent to a confirmed incarnation. */
   private isConfirmedCallOpen = false;
 
+  /** Whether the last call could extend leases, so that the next one can wait for the store. */
+  private wasLastCallConfirmed = false;
+
   private confirmationWaiters: (() => void)[] = [];
 
   public constructor(
@@ -98,15 +102,18 @@
     return runner === this.runner;
   }
 
-  /** Resolves once a report has confirmed the incarnation of the runner, or a call has failed. */
-  public async confirm(): Promise<void> {
-    if (this.isConfirmed || this.isStopped) {
-      return;
+  /**
+   * Resolves to whether the incarnation of the runner is confirmed; calls the runner first if it is
+   * not.
+   */
+  public async confirm(): Promise<boolean> {
+    if (!this.isConfirmed && !this.isStopped) {
+      await new Promise<void>((resolve) => {
+        this.confirmationWaiters.push(resolve);
+        this.wake();
+      });
     }
-    await new Promise<void>((resolve) => {
-      this.confirmationWaiters.push(resolve);
-      this.wake();
-    });
+    return this.isConfirmed && !this.isStopped;
   }
 
   private get isConfirmed(): boolean {
@@ -146,10 +153,10 @@
     while (!this.isStopped) {
       if (!this.needsCall) {
         await this.waitForWake();
-      } else if (this.hasUnstoredEnds) {
-        await this.waitForWake(maxStoreWaitMs);
-        await this.requestReport();
       } else {
+        if (this.hasUnstoredEnds && this.wasLastCallConfirmed) {
+          await this.waitForWake(maxStoreWaitMs);
+        }
         await this.requestReport();
       }
     }
@@ -194,6 +201,7 @@
     const request = { token, acknowledgedEnd, extendsLease, waitMs: isBusy ? reportWaitMs : 0 };
     const deadline = this.clock.monotonic() + request.waitMs + responseTimeoutMs;
     this.isConfirmedCallOpen = isConfirmed;
+    this.wasLastCallConfirmed = isConfirmed;
     const report = await this.client.report(runner.listed, request, deadline);
     this.isConfirmedCallOpen = false;
     if (this.isStopped) {
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -203,8 +203,8 @@
     });
   }
 
-  public async confirmRunner(runnerId: string): Promise<void> {
-    await this.links.get(runnerId)?.confirm();
+  public async confirmRunner(runnerId: string): Promise<boolean> {
+    return (await this.links.get(runnerId)?.confirm()) ?? false;
   }
 
   public reportUnansweredCall(runnerId: string, message: string): void {
