A restarted runner whose clock was set back is used again; no start waits for an unlisted runner

Found by review. Reports with a lower start time than the known one were ignored for good, so that a runner that restarted after its wall clock was set back, or whose entry once named a later start, was never used again. A report that was requested after the known incarnation became known cannot come from an earlier process, whatever its clock says, and is taken now; only one requested before is ignored. All calls of a start are sent within 1.3 s, confirmations included, for the sake of the gang.

--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -54,14 +54,16 @@
   /** Applies a report; returns false if it is that of an earlier incarnation. */
   public apply(runner: Runner, report: RunnerReport, now: number): boolean {
     const { processStartedAt } = runner.listed;
-    if (report.processStartedAt < processStartedAt) {
+    // A process that is asked after another one was known is not an earlier one, whatever its clock.
+    const isEarlier = report.processStartedAt < processStartedAt;
+    if (isEarlier && report.requestedAt <= runner.incarnationKnownAt) {
       const { id } = runner;
       const reportedStart = report.processStartedAt;
       this.state.log.decide('reportOutdated', { runner: id, processStartedAt, reportedStart });
       return false;
     }
-    if (report.processStartedAt > processStartedAt) {
-      this.restart(runner, report.processStartedAt);
+    if (report.processStartedAt !== processStartedAt) {
+      this.restart(runner, report.processStartedAt, now);
     }
     runner.isFenced = true;
     runner.isReportDue = false;
@@ -91,8 +93,9 @@
    * Records that the runner process was restarted. Its tasks are left unchanged until the next
    * report, because a task may already have been started by the new process.
    */
-  public restart(runner: Runner, startedAt: number): void {
+  public restart(runner: Runner, startedAt: number, now: number): void {
     this.state.log.decide('runnerRestarted', { runner: runner.id, startedAt });
+    runner.incarnationKnownAt = now;
     runner.listed = { ...runner.listed, processStartedAt: startedAt };
     runner.isFenced = false;
     runner.isEntryOutdated = true;
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -50,6 +50,9 @@
   /** Whether its current incarnation has accepted the fencing token of this scheduling instance. */
   public isFenced = false;
 
+  /** Monotonic time at which its present incarnation became known. */
+  public incarnationKnownAt = 0;
+
   /**
    * Whether the registry entry is that of a previous incarnation: the present one may be of another
    * kind.
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -60,7 +60,7 @@
     }
     const knownStartedAt = known.listed.processStartedAt;
     if (knownStartedAt !== 0 && entry.processStartedAt > knownStartedAt) {
-      this.reportHandler.restart(known, entry.processStartedAt);
+      this.reportHandler.restart(known, entry.processStartedAt, now);
     }
     if (entry.isDraining && !known.listed.isDraining) {
       known.departsAt = now + (entry.minRemainingMs ?? Infinity);
--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -137,6 +137,20 @@
   t.is(fixture.state, 'completed');
 });
 
+test('a restarted runner whose clock was set back is used again once it is listed', (t) => {
+  const fixture = new DispatchFixture([fixtureStep], undefined, ['r1', 'r2', 'r3']);
+  fixture.report('r1', [], [], 1);
+  fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], fixture.now);
+  fixture.now += 10;
+  fixture.report('r1', [], [], 5);
+  const runner = fixture.dispatcher.state.runners.get('r1');
+  t.is(runner?.listed.processStartedAt, 5);
+  t.true(runner?.isEntryOutdated);
+  fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 5 })], fixture.now);
+  t.false(runner?.isEntryOutdated);
+  t.true(runner?.isFenced);
+});
+
 test('a registry entry of a new incarnation does not end tasks started by it', (t) => {
   const fixture = new DispatchFixture();
   fixture.start();
--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -11,6 +11,8 @@
  * waits for its members. A retry repeats the same command, which the runner executes only once.
  */
 const startAttemptTimeoutsMs = [250, 400, 600];
+/** Milliseconds after which no further call of a start is sent, for the sake of its gang. */
+const startPeriodMs = 1_300;
 /** Timeout in milliseconds of a stop call; the dispatcher repeats the command if it fails. */
 const stopTimeoutMs = 500;
 
@@ -37,16 +39,17 @@
     const { runnerId, task, run } = command;
     const runner = this.dispatcher.state.runners.get(runnerId);
     const outcomes: StartOutcome[] = [];
+    const sendBy = this.clock.monotonic() + startPeriodMs;
     for (const attemptMs of startAttemptTimeoutsMs) {
       // The run must not count as ended by its lease while the call waits for the confirmation.
       this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
       const isConfirmed = await this.owner.confirmRunner(runnerId);
       const { token } = this.owner;
-      const maySend = isConfirmed && token !== undefined && this.dispatcher.mayStart(command);
-      if (runner === undefined || !maySend) {
+      const sentAt = this.clock.monotonic();
+      const maySend = isConfirmed && sentAt <= sendBy && this.dispatcher.mayStart(command);
+      if (runner === undefined || token === undefined || !maySend) {
         break;
       }
-      const sentAt = this.clock.monotonic();
       this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
       const outcome = await this.runners.start(runner.listed, command, token, sentAt + attemptMs);
       outcomes.push(outcome);
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -25,11 +25,10 @@
 /** Timeout of the response in milliseconds, in addition to the wait. */
 const responseTimeoutMs = 600;
 /**
- * Milliseconds for which a report proves which incarnation of the runner responds; longer than the
- * wait for the store, so that leases are extended after it. While a call is open the incarnation is
- * proven as well, because the call fails with the process.
+ * Milliseconds for which a report proves which incarnation of the runner responds. While a call is
+ * open it is proven as well, because the call fails with the process.
  */
-const confirmationMs = 600;
+const confirmationMs = 250;
 /** First and longest back-off in milliseconds after an unanswered call; the lease lasts seconds. */
 const firstRetryMs = 100;
 const maxRetryMs = 1_000;
@@ -92,6 +91,9 @@
 
   /** Checks again whether the runner has to be called. */
   public wake(): void {
+    if (!this.runner.isListed) {
+      this.endConfirmation();
+    }
     if (this.needsCall && !this.hasUnstoredEnds) {
       this.resumeLoop?.();
     }
@@ -107,13 +109,13 @@
    * not.
    */
   public async confirm(): Promise<boolean> {
-    if (!this.isConfirmed && !this.isStopped) {
+    if (!this.isConfirmed && !this.isStopped && this.runner.isListed) {
       await new Promise<void>((resolve) => {
         this.confirmationWaiters.push(resolve);
         this.wake();
       });
     }
-    return this.isConfirmed && !this.isStopped;
+    return this.isConfirmed && !this.isStopped && this.runner.isListed;
   }
 
   private get isConfirmed(): boolean {
