Instance: red tests of ended jobs that are read again from the store

An ended job is dropped from memory after ten minutes, before its records are removed, and a read of all jobs adds every job that is not in memory without its progress. It then starts from run 1: - the removal gets no response and is not carried out, and a watch fails; - a read of all jobs is answered from before the removal and arrives after it.

The runner refuses the second start of run 1 as outdated and executes run 2 of the task that was done; a runner that has restarted would execute run 1 again.

The virtual store reported the deletion of keys that did not exist, which the loader takes for a cancellation of the job; no store reports that.

--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -22,8 +22,10 @@
 } from '@apricothoist/testing';
 import { install } from '@sinonjs/fake-timers';
 import test from 'ava';
-import { ok } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 
+import type { CoordinationStore } from './CoordinationStore.js';
+import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
 import { RunnerError, RunnerErrorKind } from './RunnerClient.js';
@@ -66,6 +68,8 @@
   readonly queue?: Queue;
   readonly durationMs?: number;
   readonly behave?: (command: StartCommand) => Partial<TaskBehaviour>;
+  /** Puts faults between the scheduling instance and its store. */
+  readonly wrapStore?: (store: CoordinationStore) => CoordinationStore;
 }
 
 /** The scheduling instance with virtual runners and a store, in virtual time. */
@@ -167,7 +171,7 @@
     };
     const clock = new SuspendAwareClock(steadyClock);
     return {
-      store: this.store,
+      store: this.options.wrapStore?.(this.store) ?? this.store,
       registry: {
         list: async () => {
           await delay(this.store.callMs);
@@ -424,6 +428,116 @@
   });
 });
 
+/** Milliseconds after which the records of an ended job are removed, and a little more. */
+const pastRetentionMs = 601_000;
+
+function delegateTo(store: CoordinationStore): CoordinationStore {
+  return {
+    maxTransactionEntries: store.maxTransactionEntries,
+    read: (...call) => store.read(...call),
+    list: (...call) => store.list(...call),
+    watch: (...call) => store.watch(...call),
+    commit: (...call) => store.commit(...call),
+    grantLease: (...call) => store.grantLease(...call),
+    renewLease: (...call) => store.renewLease(...call),
+    endLease: (...call) => store.endLease(...call),
+  };
+}
+
+function unanswered() {
+  return err(new CoordinationError(CoordinationErrorKind.unanswered, 'no response'));
+}
+
+// A failed watch is followed by a read of all jobs, which still contains the ended one.
+test.serial('a job whose records could not be removed does not run again', async (t) => {
+  let lostRemovals = 0;
+  const startedRuns: (number | undefined)[] = [];
+  using deployment = new VirtualDeployment({
+    runners: 1,
+    decideFate: ({ kind, run }) => {
+      startedRuns.push(...(kind === CallKind.start ? [run] : []));
+      return delivered;
+    },
+    wrapStore: (store) => ({
+      ...delegateTo(store),
+      commit: async (transaction, deadline) => {
+        if (transaction.deletes !== undefined && lostRemovals === 0) {
+          lostRemovals += 1;
+          return unanswered();
+        }
+        return store.commit(transaction, deadline);
+      },
+      watch: async (...call) => {
+        if (lostRemovals === 1) {
+          lostRemovals += 1;
+          return unanswered();
+        }
+        return store.watch(...call);
+      },
+    }),
+  });
+  deployment.submit(jobId, [plainStep]);
+  deployment.takeOver();
+  t.true(await deployment.runUntilCompleted(10_000));
+  await deployment.run(pastRetentionMs);
+  t.is(lostRemovals, 2);
+  await deployment.run(20_000);
+  t.deepEqual(startedRuns, [1]);
+  const stored = await Promise.all([deployment.run(100), deployment.store.list('')]);
+  t.deepEqual(
+    stored[1]._unsafeUnwrap().items.filter(({ key }) => key.includes(jobId)),
+    [],
+    'the records are removed later',
+  );
+});
+
+// The read was answered from before the removal, and the answer arrives after it.
+test.serial('a job read before the removal of its records does not run again', async (t) => {
+  const shortWatchMs = 50;
+  let isRemoving = false;
+  let isRemoved = false;
+  let isReadAgain = false;
+  const startedRuns: (number | undefined)[] = [];
+  using deployment = new VirtualDeployment({
+    runners: 1,
+    decideFate: ({ kind, run }) => {
+      startedRuns.push(...(kind === CallKind.start ? [run] : []));
+      return delivered;
+    },
+    wrapStore: (store) => ({
+      ...delegateTo(store),
+      commit: async (transaction, deadline) => {
+        isRemoving ||= transaction.deletes !== undefined;
+        while (isRemoving && !isReadAgain) {
+          await delay(1);
+        }
+        const result = await store.commit(transaction, deadline);
+        isRemoved ||= isRemoving;
+        return result;
+      },
+      watch: async (prefix, after, waitMs, deadline) =>
+        isRemoving && !isReadAgain
+          ? unanswered()
+          : store.watch(prefix, after, Math.min(waitMs, shortWatchMs), deadline),
+      list: async (...call) => {
+        const items = await store.list(...call);
+        isReadAgain ||= isRemoving;
+        while (isRemoving && !isRemoved) {
+          await delay(1);
+        }
+        await delay(isRemoving ? shortWatchMs : 0);
+        return items;
+      },
+    }),
+  });
+  deployment.submit(jobId, [plainStep]);
+  deployment.takeOver();
+  t.true(await deployment.runUntilCompleted(10_000));
+  await deployment.run(pastRetentionMs + 20_000);
+  t.true(isRemoved && isReadAgain);
+  t.deepEqual(startedRuns, [1]);
+});
+
 test.serial('a step of the wall clock does not expire the leases of a runner early', async (t) => {
   using deployment = new VirtualDeployment({ runners: 2, durationMs: 15_000 });
   deployment.submit(jobId, [plainStep]);
--- a/packages/testing/src/VirtualCoordinationStore.ts
+++ b/packages/testing/src/VirtualCoordinationStore.ts
@@ -84,7 +84,9 @@
     this.revision += 1;
     const { revision } = this;
     writes.forEach(({ key, value }) => this.items.set(key, { key, value, revision }));
-    deletes.forEach((key) => this.items.set(key, { key, revision }));
+    deletes
+      .filter((key) => this.items.get(key)?.value !== undefined)
+      .forEach((key) => this.items.set(key, { key, revision }));
     return ok({ isCommitted: true, revision });
   }
 
