Keep an ended job until the removal of its records is confirmed

What callers could see: a task that was done runs again ten minutes later. Not reported so far. Cause: an ended job was dropped from memory before its records were removed, and an unanswered removal was not repeated in the same term. A job that is read and is not in memory counts as new, without its progress. After a failed watch all jobs are read again, so the job started from run 1; the same for a read that was answered from before the removal and arrived after it. Change: the dispatcher keeps an ended job until its records are certainly deleted; the removal is repeated, at most every 5 s, and ends at the first failure, so that a step waits for one call at most in an outage. Items of calls that began before the confirmation are ignored up to the revision of the deletion; a job that is submitted again later has a higher one and is loaded. Price: records of ended jobs stay up to 5 s longer, and in an outage as long as it lasts.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -41,6 +41,8 @@
 const stopRetryMs = 700;
 /** Milliseconds for which ended jobs and sent stop commands are retained. */
 const retentionMs = 600_000;
+/** Milliseconds between removals of records; each one delays a step by some store calls. */
+const removalIntervalMs = 5_000;
 /** Milliseconds between the latest end of a stop and the departure of its runner. */
 const evacuationMarginMs = 400;
 
@@ -65,7 +67,9 @@
 
   private readonly progressRestorer: ProgressRestorer;
 
-  private expiredJobIds: string[] = [];
+  private expiredJobIds: readonly string[] = [];
+
+  private nextRemovalAt = 0;
 
   /** Whether an event since the last scheduling round may allow new decisions. */
   private isRoundDue = true;
@@ -262,13 +266,19 @@
 
   /**
    * Returns the ids of ended jobs whose retention period has expired; their records can be deleted.
+   * The jobs are returned again later unless `forgetJobs` is called.
    */
-  public takeExpiredJobIds(): string[] {
+  public takeExpiredJobIds(): readonly string[] {
     const { expiredJobIds } = this;
     this.expiredJobIds = [];
     return expiredJobIds;
   }
 
+  /** Removes ended jobs; a job whose record is still stored would be added and started anew. */
+  public forgetJobs(ids: readonly string[]): void {
+    ids.forEach((id) => this.state.jobs.delete(id));
+  }
+
   /** Exports the learned state for the next scheduling instance. */
   public exportLearnedState(now: number): LearnedState {
     return exportLearnedState(this.state, now);
@@ -376,12 +386,12 @@
         this.state.runners.delete(runner.id);
       }
     });
-    this.state.jobs.forEach((job) => {
-      if (job.isEnded && now - job.endedAt > retentionMs) {
-        this.state.jobs.delete(job.id);
-        this.expiredJobIds.push(job.id);
-      }
-    });
+    if (now >= this.nextRemovalAt) {
+      this.expiredJobIds = [...this.state.jobs.values()]
+        .filter((job) => job.isEnded && now - job.endedAt > retentionMs)
+        .map(({ id }) => id);
+      this.nextRemovalAt = this.expiredJobIds.length > 0 ? now + removalIntervalMs : now;
+    }
     this.stopSentAt.forEach((sentAt, key) => {
       if (now - sentAt > retentionMs) {
         this.stopSentAt.delete(key);
--- a/packages/instance/src/ProgressWriter.ts
+++ b/packages/instance/src/ProgressWriter.ts
@@ -56,22 +56,28 @@
   }
 
   /**
-   * Deletes all records of jobs. Records that remain because the store did not respond are found
-   * again by the next holder.
+   * Deletes all records of jobs; returns the ids of those whose records are certainly deleted, with
+   * the revision of the deletion.
    */
-  public async remove(ids: readonly string[]): Promise<void> {
+  public async remove(ids: readonly string[]): Promise<ReadonlyMap<string, number>> {
     const size = Math.floor((this.store.maxTransactionEntries - holderEntries) / keysOfJob.length);
     const expect = [{ key: StoreKeys.holder, revision: this.token }];
+    const removed = new Map<string, number>();
     for (let first = 0; first < ids.length && this.isScheduling(); first += size) {
-      const deletes = ids
-        .slice(first, first + size)
-        .flatMap((id) => keysOfJob.map((key) => key(id)));
+      const batch = ids.slice(first, first + size);
+      const deletes = batch.flatMap((id) => keysOfJob.map((key) => key(id)));
       const deadline = this.clock.monotonic() + commitTimeoutMs;
       const result = await this.store.commit({ expect, writes: [], deletes }, deadline);
       if (result.isErr()) {
-        this.onFailure(result.error, ids.length);
+        this.onFailure(result.error, ids.length - first);
       }
+      if (result.isErr() || !result.value.isCommitted) {
+        break;
+      }
+      const { revision } = result.value;
+      batch.forEach((id) => removed.set(id, revision));
     }
+    return removed;
   }
 
   // Retries until the outcome is certain. A delayed earlier call cannot take effect after its
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -129,8 +129,8 @@
     this.jobLoader = new StoredJobLoader(this.dispatcher, clock, steadyClock, log);
     const followSettings = { watchMs, watchesPerRead: Infinity };
     this.watch = new PrefixFollower(store, clock, random, StoreKeys.jobPrefix, followSettings);
-    this.watch.onItems(({ items }) => {
-      this.jobLoader.loadItems(items);
+    this.watch.onItems(({ items, requestedAt }) => {
+      this.jobLoader.loadChanges(items, requestedAt);
       this.wake();
     });
     this.learnedState = new LearnedStateStore(
@@ -306,17 +306,25 @@
     // unknown, so that they are retried.
     commands.starts.forEach((command) => this.commandSender.start(command));
     this.updateLinks();
-    const expiredJobIds = this.dispatcher.takeExpiredJobIds();
-    if (expiredJobIds.length > 0) {
-      await this.writer.remove(expiredJobIds);
-    }
-    this.feedUpdates.recordDeleted(expiredJobIds);
+    await this.removeExpiredJobs();
     if (this.token !== undefined) {
       this.publishChanges();
       this.learnedState.writeIfDue().catch((error: unknown) => this.logError(error));
     }
   }
 
+  private async removeExpiredJobs(): Promise<void> {
+    const expiredJobIds = this.dispatcher.takeExpiredJobIds();
+    if (expiredJobIds.length === 0) {
+      return;
+    }
+    const removed = await this.writer.remove(expiredJobIds);
+    const removedIds = [...removed.keys()];
+    this.jobLoader.recordRemoved(removed);
+    this.dispatcher.forgetJobs(removedIds);
+    this.feedUpdates.recordDeleted(removedIds);
+  }
+
   private publishChanges(): void {
     const update = this.feedUpdates.takeDue(this.now, () => this.dispatcher.describeQueues());
     if (update !== undefined) {
--- a/packages/instance/src/StoredJobLoader.ts
+++ b/packages/instance/src/StoredJobLoader.ts
@@ -8,8 +8,18 @@
 import type { StoredJob } from './StoredJob.js';
 import { parseRecord } from './StoredJob.js';
 
+/** Confirmed deletion of the records of a job. */
+interface Removal {
+  /** Revision of the deletion. */
+  readonly revision: number;
+  /** Monotonic milliseconds of the confirmation. */
+  readonly confirmedAt: number;
+}
+
 /** Loads stored jobs, their progress and their cancellations into the dispatcher. */
 export class StoredJobLoader {
+  private readonly removals = new Map<string, Removal>();
+
   public constructor(
     private readonly dispatcher: Dispatcher,
     private readonly clock: Clock,
@@ -33,8 +43,32 @@
     this.loadItems(jobs, records);
   }
 
+  /** @param removed revisions of the deletion of all records of a job, by job id */
+  public recordRemoved(removed: ReadonlyMap<string, number>): void {
+    const confirmedAt = this.clock.monotonic();
+    removed.forEach((revision, id) => this.removals.set(id, { revision, confirmedAt }));
+  }
+
+  /**
+   * Loads items of a call that began at `requestedAt`; calls are expected one after the other. A
+   * call that began before the deletion of a record was confirmed may still contain it.
+   */
+  public loadChanges(items: readonly StoredItem[], requestedAt: number): void {
+    this.removals.forEach(({ confirmedAt }, id) => {
+      if (confirmedAt < requestedAt) {
+        this.removals.delete(id);
+      }
+    });
+    this.loadItems(
+      items.filter(({ key, revision }) => {
+        const removal = this.removals.get(parseJobKey(key).id);
+        return removal === undefined || revision > removal.revision;
+      }),
+    );
+  }
+
   /** Loads jobs before cancellations: a cancellation may precede its job in the same list. */
-  public loadItems(
+  private loadItems(
     items: readonly StoredItem[],
     records?: ReadonlyMap<string, StoredProgress>,
   ): void {
