Daemon: red test of a worker that the instance list does not contain

A worker counts as gone after two reads of the instance list without it and 6 s without a report. Its tasks then count as stopped at once, while the leases granted to them last 8 s from the last renewal. A worker that is cut off while the list is partial runs its job beside the next attempt.

--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -1,15 +1,16 @@
 import { readdirSync, readFileSync } from 'node:fs';
 
 import { Random } from '@apricothoist/common';
-import { Adjacency, ConfigurationBuilder, Urgency } from '@apricothoist/config';
+import { Adjacency, ConfigurationBuilder, parseConfiguration, Urgency } from '@apricothoist/config';
+import type { WorkerClient } from '@apricothoist/platform';
 import { BudgetedStore, WorkerError, WorkerErrorKind } from '@apricothoist/platform';
 import { ClaimResult } from '@apricothoist/router';
 import type { Attempt } from '@apricothoist/scheduler';
-import { createJob, createPlan, PlanChangeKind } from '@apricothoist/scheduler';
-import { ManualClock, MemoryStore } from '@apricothoist/testing';
+import { createJob, createPlan, PlanChangeKind, Scheduler } from '@apricothoist/scheduler';
+import { ManualClock, MemoryStore, WorkerModel } from '@apricothoist/testing';
 import test from 'ava';
 import fc from 'fast-check';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 
 import { ConfigurationCache } from './ConfigurationCache.js';
 import { ConfigurationStore, PublishErrorKind } from './ConfigurationStore.js';
@@ -19,7 +20,7 @@
 import { RenewalFence } from './RenewalFence.js';
 import { parseSettings } from './Settings.js';
 import { StoreClaims } from './StoreClaims.js';
-import { WorkerGateway } from './WorkerGateway.js';
+import { taskLeaseMs, WorkerGateway, workerTimeoutMs } from './WorkerGateway.js';
 
 const limits = { callsPerSecond: 10_000, reservedPerSecond: 10, callTimeoutMs: 1_000 };
 
@@ -348,6 +349,85 @@
   t.is(gateway.size, 0);
 });
 
+// Two reads without the worker and six seconds without a report do not end leases of eight seconds.
+test('a worker missing from the list does not run its job beside the next attempt', async (t) => {
+  const clock = new ManualClock();
+  const fence = new RenewalFence(clock, taskLeaseMs);
+  const scheduler = new Scheduler(() => `attempt-${clock.now}`);
+  const shape = { workers: 1, acceleratorsPerWorker: 8, adjacency: Adjacency.any };
+  const request = { id: 'job', name: 'job', account: 'team', shape, urgency: Urgency.normal };
+  const jobs = [createJob({ ...request, declaredMs: 60_000 }, clock.wall())];
+  const source = { current: { ...createPlan('a'), revision: 1, jobs } };
+  const behaviour = { runMs: () => 60_000, checkpointMs: 100, isFailing: () => false };
+  const models = new Map(['w1', 'w2'].map((id) => [id, new WorkerModel(id, 8, behaviour)]));
+  const lost = new Set<string>();
+  const client: WorkerClient = {
+    assign: async (address, assignment) => {
+      const model = models.get(address);
+      return model === undefined || lost.has(address)
+        ? err(new WorkerError(WorkerErrorKind.unreachable, ''))
+        : ok(model.assign(assignment, clock.wall()));
+    },
+  };
+  using gateway = new WorkerGateway(client, source, clock, 'a');
+  const configuration = parseConfiguration(createText(1), 'test')._unsafeUnwrap();
+  const step = async (): Promise<void> => {
+    clock.advance(100);
+    if (clock.now % 1_000 === 0) {
+      const rows = ['w1', 'w2'].filter((id) => !lost.has(id));
+      gateway.updateListed(
+        rows.map((id) => ({
+          id,
+          role: 'worker',
+          dataCentre: 'a',
+          address: id,
+          state: 'live',
+          accelerators: 8,
+        })),
+      );
+      fence.record([], source.current.revision);
+    }
+    gateway.callChangedWorkers();
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    const now = clock.wall();
+    const { plan } = scheduler.step({
+      plan: source.current,
+      configuration,
+      workers: gateway.workers,
+      observations: gateway.observations,
+      limits: {
+        now,
+        staleBefore: now - workerTimeoutMs,
+        fencedRevision: fence.revision(),
+        releasedBefore: -Infinity,
+      },
+    });
+    source.current = plan ?? source.current;
+  };
+  const runs = () =>
+    [...models.values()].flatMap((model) => {
+      model.advance(clock.wall());
+      return model.runs;
+    });
+  gateway.activate();
+  while (clock.now < 1_005_000) {
+    await step();
+  }
+  const [first] = runs();
+  lost.add(first?.workerId ?? '');
+  while (runs().length < 2 && clock.now < 1_040_000) {
+    await step();
+  }
+  const [{ startedAt = 0 } = {}] = runs().filter((run) => run !== first);
+  t.true(startedAt > 0, 'the next attempt starts');
+  t.true(
+    (first?.endedAt ?? Infinity) <= startedAt,
+    `the next attempt starts at ${startedAt}, the first one ends at ${first?.endedAt}`,
+  );
+});
+
 test('the fence retains points for one lease duration only, even if it is never read', (t) => {
   const clock = new ManualClock();
   const fence = new RenewalFence(clock, 8_000);
