Count a run that is done although it was held to have ended; tie outcomes to the incarnation

The listed end of a run that no member stands for any more was dropped and acknowledged. If it was done, its task ran again: after a lease that had expired as a waste of the work done behind a cut, after a run that a runner still reported as a start after done (TWICE). Now such an end completes its group, and a newer run is stopped; a failed one of a stray run counts as an attempt. Answers to a stop, and to start calls during a restart, count for the incarnation that they were sent to. A start is not sent to a runner that drains or is unlisted meanwhile, and stray runs on an unlisted runner are not called.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -201,6 +201,8 @@
     const member = runner?.occupants.get(occupantKey(task, run))?.member;
     return (
       runner?.listed.processStartedAt === processStartedAt &&
+      runner.isListed &&
+      !runner.isDraining &&
       runner.isFenced &&
       member !== undefined &&
       !member.isStopRequested
@@ -222,9 +224,16 @@
     }
   }
 
-  public recordStopResponse(runnerId: string, task: string, run: number, now: number): void {
+  /** @param processStartedAt incarnation of the runner that the stop was sent to */
+  public recordStopResponse(
+    runnerId: string,
+    processStartedAt: number,
+    task: string,
+    run: number,
+    now: number,
+  ): void {
     const runner = this.state.runners.get(runnerId);
-    if (runner !== undefined) {
+    if (runner?.listed.processStartedAt === processStartedAt) {
       recordStopResponse(runner, task, run, now);
     }
   }
@@ -321,7 +330,7 @@
       this.reportHandler.endAllRuns(runner, now, steadyNow);
     }
     runner.strays.forEach(({ task, run }) => {
-      if (this.isStopDue(task, run, now)) {
+      if (runner.isListed && this.isStopDue(task, run, now)) {
         this.state.stops.push({ runnerId: runner.id, task, run });
       }
     });
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -125,9 +125,14 @@
     }
     runner.processedEndNumber = ended.number;
     const key = occupantKey(ended.task, ended.run);
+    const isStray = runner.strays.get(key)?.isRunning === true;
     runner.removeStray(key);
     const occupant = runner.occupants.get(key);
     if (occupant === undefined) {
+      const group = this.findGroup(ended.task);
+      if (group !== undefined && (isStray || ended.end === RunEnd.done)) {
+        this.lifecycle.endUnheldRun(group, ended.run, ended.end, now);
+      }
       return;
     }
     const { group } = occupant;
@@ -154,7 +159,7 @@
   // One member reported done completes its gang; the other members end shortly after.
   private belongsToFinishedGang({ task, run }: RunningTask): boolean {
     const group = this.findGroup(task);
-    return group?.phase === TaskGroupPhase.done && group.step.isGang && group.run === run;
+    return group?.phase === TaskGroupPhase.done && group.step.isGang && group.doneRun === run;
   }
 
   // A run that no occupant stands for is stopped, and its task is not started again beside it.
--- a/packages/dispatch/src/TaskGroup.ts
+++ b/packages/dispatch/src/TaskGroup.ts
@@ -67,6 +67,9 @@
   /** Number of the current or last run; incremented with each start. */
   public run = 0;
 
+  /** Number of the run that was done; 0 if none. */
+  public doneRun = 0;
+
   /** Number of failed runs. */
   public failures = 0;
 
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -162,7 +162,7 @@
       return;
     }
     if (end === RunEnd.done && !group.step.isLasting) {
-      this.complete(group, now);
+      this.complete(group, occupant.run, now);
       return;
     }
     if (end === RunEnd.failed && !group.hasFailedInRun) {
@@ -187,6 +187,22 @@
     }
   }
 
+  /** Handles the end of a run that was held to have ended before. */
+  public endUnheldRun(group: TaskGroup, run: number, end: RunEnd, now: number): void {
+    const isOver = group.phase === TaskGroupPhase.done || group.phase === TaskGroupPhase.failed;
+    if (isOver || group.job.isEnded || group.step.isLasting) {
+      return;
+    }
+    if (end === RunEnd.done) {
+      this.abort(group, `done in run ${run}`, now);
+      this.clearReservation(group);
+      this.complete(group, run, now);
+    } else if (end === RunEnd.failed) {
+      group.failures += 1;
+      group.job.isDirty = true;
+    }
+  }
+
   /** Ends the current run of a task group without a result and stops its members. */
   public abort(group: TaskGroup, reason: string, now: number): void {
     if (group.phase === TaskGroupPhase.starting || group.phase === TaskGroupPhase.running) {
@@ -315,7 +331,8 @@
     });
   }
 
-  private complete(group: TaskGroup, now: number): void {
+  private complete(group: TaskGroup, run: number, now: number): void {
+    group.doneRun = run;
     group.members.forEach((member) => {
       const runner =
         member.runnerId === undefined ? undefined : this.state.runners.get(member.runnerId);
@@ -329,7 +346,7 @@
       }
       member.state = MemberState.ended;
     });
-    if (group.startedAt > 0 && group.saved === '') {
+    if (run === group.run && group.startedAt > 0 && group.saved === '') {
       this.state.estimates.record(group.job.queue.name, group.step, now - group.startedAt);
     }
     group.apply('finish');
@@ -337,8 +354,8 @@
     this.state.log.decide('groupDone', {
       job: group.job.id,
       group: group.key,
-      run: group.run,
-      ranMs: Math.round(now - group.startedAt),
+      run,
+      ranMs: run === group.run ? Math.round(now - group.startedAt) : undefined,
     });
     if (!group.job.isEnded && group.job.isDone) {
       this.endJob(group.job, JobState.completed, 'all tasks done', now);
--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -68,7 +68,7 @@
   fixture.report('r1', [], [endedTask(1, 0, RunEnd.stopped, 'half')]);
   fixture.report('r2');
   t.is(fixture.step(500).starts.length, 0, 'the start on r2 may still be executed');
-  fixture.dispatcher.recordStopResponse('r2', second?.task ?? '', 1, fixture.now);
+  fixture.dispatcher.recordStopResponse('r2', 1, second?.task ?? '', 1, fixture.now);
   fixture.now += 1;
   fixture.report('r2');
   const again = fixture.step(1_500).starts;
--- a/packages/dispatch/src/strayRuns.test.ts
+++ b/packages/dispatch/src/strayRuns.test.ts
@@ -1,7 +1,8 @@
-import { DispatchFixture, fixtureStep, runningTask } from '@apricothoist/testing';
+import { DispatchFixture, endedTask, fixtureStep, runningTask } from '@apricothoist/testing';
 import test from 'ava';
 
 import { StartOutcome } from './StartOutcome.js';
+import { RunEnd } from './TaskGroupLifecycle.js';
 
 const single = {
   ...fixtureStep,
@@ -67,6 +68,38 @@
   fixture.step(6_400);
   fixture.report('r1');
   t.deepEqual(fixture.step(21_000).starts, [], 'the quarantine is over');
-  fixture.dispatcher.recordStopResponse('r1', commands.starts[0]?.task ?? '', 1, fixture.now);
+  fixture.dispatcher.recordStopResponse('r1', 1, commands.starts[0]?.task ?? '', 1, fixture.now);
   t.is(fixture.step(200).starts.length, 1);
 });
+
+test('a task is not started after a run that was held to have ended is done', (t) => {
+  const fixture = new DispatchFixture([single]);
+  fixture.step();
+  fixture.report('r1', [runningTask(0)]);
+  fixture.report('r2');
+  t.deepEqual(fixture.step().starts, []);
+  fixture.report('r1', [], [endedTask(1, 0, RunEnd.done)]);
+  t.deepEqual(fixture.step().starts, []);
+  t.is(fixture.state, 'completed');
+});
+
+test('a run that is done on an unreachable runner counts, and the next run is stopped', (t) => {
+  const fixture = new DispatchFixture([single]);
+  fixture.report('r1');
+  const [first] = fixture.start().starts;
+  const [runnerId, otherId] = first?.runnerId === 'r1' ? ['r1', 'r2'] : ['r2', 'r1'];
+  fixture.dispatcher.recordUnansweredCall(runnerId);
+  fixture.report(otherId);
+  const second = fixture.step(6_400);
+  t.deepEqual(
+    second.starts.map(({ run }) => run),
+    [2],
+  );
+  fixture.recordStartOutcomes(second, StartOutcome.started);
+  fixture.report(runnerId, [], [endedTask(1, 0, RunEnd.done)]);
+  t.is(fixture.state, 'completed');
+  t.deepEqual(
+    fixture.step().stops.map(({ run }) => run),
+    [2],
+  );
+});
--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -57,6 +57,10 @@
         break;
       }
     }
+    // The answers came from a process that is gone; the present one may still get the calls.
+    if (outcomes.length > 0 && runner?.listed.processStartedAt !== command.processStartedAt) {
+      outcomes.push(StartOutcome.unknown);
+    }
     if (outcomes.includes(StartOutcome.unknown)) {
       this.owner.reportUnsettledStart(command, outcomes);
     }
@@ -74,10 +78,12 @@
     if (runner === undefined || runner.listed.address === '' || token === undefined) {
       return;
     }
+    const { processStartedAt } = runner.listed;
     const deadline = this.clock.monotonic() + stopTimeoutMs;
     const response = await this.runners.stop(runner.listed, command, token, deadline);
     if (response.isOk()) {
-      this.dispatcher.recordStopResponse(runnerId, task, run, this.clock.monotonic());
+      const now = this.clock.monotonic();
+      this.dispatcher.recordStopResponse(runnerId, processStartedAt, task, run, now);
       this.owner.wake();
     } else if (response.error.kind === RunnerErrorKind.fenced) {
       this.owner.yieldToSuccessor(runnerId);
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -302,8 +302,7 @@
       this.lastStoredEnds.set(id, { processStartedAt, end }),
     );
     this.feedUpdates.recordStates(changed.map((job) => [job.id, job.state]));
-    // While the lease is in doubt, the sender does not send them and reports their outcome as
-    // unknown, so that they are retried.
+    // While the lease is in doubt, the sender does not send them, and their runs end at once.
     commands.starts.forEach((command) => this.commandSender.start(command));
     this.updateLinks();
     await this.removeExpiredJobs();
--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -644,6 +644,49 @@
   t.deepEqual(findOverlaps(deployment.pool.records), []);
 });
 
+test.serial('a start is not sent to a runner whose report failed', async (t) => {
+  let refusesReports = false;
+  const starts: number[] = [];
+  using deployment = new VirtualDeployment({
+    runners: 1,
+    decideFate: ({ kind, sentAt }) => {
+      if (kind === CallKind.start) {
+        starts.push(sentAt);
+      }
+      return refusesReports && kind === CallKind.report
+        ? { kind: 'refused', outcome: StartOutcome.unhealthy, latencyMs }
+        : delivered;
+    },
+  });
+  deployment.takeOver();
+  await deployment.run(1_000);
+  refusesReports = true;
+  deployment.submit(jobId, [plainStep]);
+  await deployment.run(3_000);
+  t.deepEqual(starts, []);
+  refusesReports = false;
+  t.true(await deployment.runUntilCompleted(30_000));
+});
+
+// Ends of other tasks keep the link waiting for the store.
+test.serial('leases are extended while ends wait for a slow store', async (t) => {
+  using deployment = new VirtualDeployment({
+    runners: 1,
+    durationMs: 1_000,
+    behave: ({ task }) => ({
+      durationMs: task.endsWith('.0.0.0') ? 15_000 : 500 + 100 * Number(task.split('.')[3]),
+    }),
+  });
+  deployment.store.callMs = 300;
+  const count = 100;
+  const size = { cpu: 10, memoryMb: 10, accelerators: 0 };
+  deployment.takeOver();
+  await deployment.run(3_000);
+  deployment.submit(jobId, [{ ...plainStep, size, count }]);
+  t.true(await deployment.runUntilCompleted(60_000));
+  t.is(deployment.pool.records.length, count);
+});
+
 // The registry lists the runner again while the step that removed it stores its changes.
 test.serial('a runner that is listed again right after its removal is used again', async (t) => {
   using deployment = new VirtualDeployment({ runners: 1, durationMs: 3_000 });
--- a/packages/testing/src/ReplaySimulation.ts
+++ b/packages/testing/src/ReplaySimulation.ts
@@ -386,7 +386,7 @@
       task.stopAt = Math.min(task.stopAt, this.now + replayBounds.stopMs);
     }
     const [name = '', run] = key.split('#');
-    this.dispatcher.recordStopResponse(runnerId, name, Number(run), this.now);
+    this.dispatcher.recordStopResponse(runnerId, 1, name, Number(run), this.now);
   }
 
   private updateJobs(): void {
