--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -196,6 +196,7 @@
     if (end === RunEnd.done) {
       this.abort(group, `done in run ${run}`, now);
       this.clearReservation(group);
+      group.members.forEach((member) => this.releaseMember(group, member));
       this.complete(group, run, now);
     } else if (end === RunEnd.failed) {
       group.failures += 1;
@@ -308,6 +309,15 @@
     this.completeStop(group, now);
   }
 
+  // Keeps the run of a member as a stray run, which counts until it has been stopped.
+  private releaseMember(group: TaskGroup, { task, runnerId, history }: Member): void {
+    const runner = runnerId === undefined ? undefined : this.state.runners.get(runnerId);
+    if (runner?.occupants.has(occupantKey(task, group.run))) {
+      runner.removeOccupant(task, group.run);
+      runner.addStray({ task, run: group.run, group, history, isRunning: true });
+    }
+  }
+
   private recordEvidence(
     runner: Runner,
     { group, member, run }: Occupant,
