--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -1,6 +1,7 @@
 import { DurationEstimates } from './DurationEstimates.js';
 import type { Account, Queue } from './Job.js';
 import type { JobRun } from './JobRun.js';
+import { RunCounters } from './RunCounters.js';
 import type { Runner } from './Runner.js';
 import type { SlowdownRecord } from './RunnerSlowdown.js';
 import type { TaskGroup } from './TaskGroup.js';
@@ -10,6 +11,8 @@
 /** Command to start one task; must be sent only after the progress of the job is stored. */
 export interface StartCommand {
   readonly runnerId: string;
+  /** Incarnation of the runner that was chosen; another one may be of another kind. */
+  readonly processStartedAt: number;
   readonly jobId: string;
   readonly task: string;
   readonly run: number;
@@ -42,10 +45,13 @@
   | 'groupStarted'
   | 'groupAborted'
   | 'groupDone'
+  | 'runEndInferred'
+  | 'runsOverlap'
   | 'runnerListed'
   | 'runnerDraining'
   | 'runnerUnlisted'
   | 'runnerRestarted'
+  | 'reportOutdated'
   | 'runnerQuarantined'
   | 'runnerLeasesExpired'
   | 'orphanStopped';
@@ -128,5 +134,6 @@
     public readonly bounds: DispatchBounds,
     public readonly log: DecisionLog,
     public readonly policy: DispatchPolicy,
+    public readonly counters: RunCounters = new RunCounters(),
   ) {}
 }
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -14,17 +14,19 @@
 import type { Account, JobSpecification, Queue } from './Job.js';
 import { JobState } from './Job.js';
 import { JobRun } from './JobRun.js';
-import type { ProgressRecord } from './ProgressRecord.js';
+import type { StoredProgress } from './ProgressRecord.js';
 import type { RunnerReport } from './ReportHandler.js';
 import { ReportHandler } from './ReportHandler.js';
 import { ProgressRestorer } from './ProgressRestorer.js';
 import type { ListedRunner, Runner } from './Runner.js';
 import { extendLease, occupantKey } from './Runner.js';
+import type { RunCounters } from './RunCounters.js';
 import { RunnerListing } from './RunnerListing.js';
+import { StartOutcome } from './StartOutcome.js';
 import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
 import type { TaskGroup } from './TaskGroup.js';
 import { TaskGroupPhase } from './TaskGroup.js';
-import { recordStopResponse, StartOutcome, TaskGroupLifecycle } from './TaskGroupLifecycle.js';
+import { recordStopResponse, TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 
 /**
  * Interval in milliseconds of the time-driven checks: leases, stalled tasks, back-offs. Small
@@ -76,8 +78,9 @@
     bounds: DispatchBounds,
     log: DecisionLog,
     policy: DispatchPolicy = defaultPolicy,
+    counters?: RunCounters,
   ) {
-    this.state = new DispatchState(bounds, log, policy);
+    this.state = new DispatchState(bounds, log, policy, counters);
     this.lifecycle = new TaskGroupLifecycle(this.state);
     this.reportHandler = new ReportHandler(this.state, this.lifecycle);
     this.listing = new RunnerListing(this.state, this.reportHandler);
@@ -106,7 +109,7 @@
     fallback: Queue,
     arrivedAt: number,
     now: number,
-    stored?: { readonly progress: ProgressRecord; readonly version: number },
+    stored?: StoredProgress,
   ): void {
     if (this.state.jobs.has(specification.id)) {
       return;
@@ -118,7 +121,7 @@
     this.isRoundDue = true;
     if (stored !== undefined) {
       job.storedVersion = stored.version;
-      this.progressRestorer.restore(job, stored.progress, now);
+      this.progressRestorer.restore(job, stored, now);
     }
     if (job.isEnded) {
       this.state.openJobs.delete(job);
@@ -148,18 +151,24 @@
     this.isRoundDue = true;
   }
 
-  public applyReport(runnerId: string, report: RunnerReport, now: number): void {
+  /** Applies a report; returns false if it is that of an earlier incarnation of the runner. */
+  public applyReport(runnerId: string, report: RunnerReport, now: number): boolean {
     const runner = this.state.runners.get(runnerId);
-    if (runner !== undefined) {
-      const { isFenced, unansweredCalls } = runner;
-      const tasks = runner.occupants.size;
-      this.reportHandler.apply(runner, report, now);
-      this.isRoundDue ||=
-        report.ended.length > 0 ||
-        !isFenced ||
-        unansweredCalls > 0 ||
-        runner.occupants.size !== tasks;
+    if (runner === undefined) {
+      return true;
+    }
+    const { isFenced, isReportDue, unansweredCalls } = runner;
+    const runs = runner.occupants.size + runner.strays.size;
+    if (!this.reportHandler.apply(runner, report, now)) {
+      return false;
     }
+    this.isRoundDue ||=
+      report.ended.length > 0 ||
+      !isFenced ||
+      isReportDue ||
+      unansweredCalls > 0 ||
+      runner.occupants.size + runner.strays.size !== runs;
+    return true;
   }
 
   /** Records that the runner did not respond to a call. */
@@ -170,25 +179,30 @@
     }
   }
 
-  /** Records that a call is being sent that extends leases on the runner or starts a task there. */
-  public recordLeaseExtension(runnerId: string, now: number): void {
+  /**
+   * Records that a call is being sent that extends leases on the runner or starts a task there.
+   *
+   * @param steadyNow reading of the steady clock, see `step`
+   */
+  public recordLeaseExtension(runnerId: string, steadyNow: number): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
-      extendLease(runner, this.state.bounds, now);
+      extendLease(runner, this.state.bounds, steadyNow);
     }
   }
 
-  public recordStartOutcome(
+  /** Records the outcomes of all calls of a start command, in the order of the calls. */
+  public recordStartOutcomes(
     runnerId: string,
     task: string,
     run: number,
-    outcome: StartOutcome,
+    outcomes: readonly StartOutcome[],
     now: number,
   ): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
-      this.lifecycle.recordStartOutcome(runner, task, run, outcome, now);
-      this.isRoundDue ||= outcome !== StartOutcome.started;
+      this.lifecycle.recordStartOutcomes(runner, task, run, outcomes, now);
+      this.isRoundDue ||= outcomes.at(-1) !== StartOutcome.started;
     }
   }
 
@@ -201,11 +215,14 @@
 
   /**
    * Runs the time-driven checks and, if due, a scheduling round; returns the commands to be sent.
+   *
+   * @param now monotonic time, which may run ahead after a step of the wall clock
+   * @param steadyNow reading of a clock that never runs ahead; leases of runners are judged by it
    */
-  public step(now: number, wallNow: number): Commands {
+  public step(now: number, wallNow: number, steadyNow: number): Commands {
     if (now >= this.nextCheckAt) {
       this.nextCheckAt = now + checkIntervalMs;
-      this.state.runners.forEach((runner) => this.checkRunner(runner, now));
+      this.state.runners.forEach((runner) => this.checkRunner(runner, now, steadyNow));
       this.evacuateDraining(now);
       this.removeExpired(now);
       this.isRoundDue = true;
@@ -266,19 +283,28 @@
     });
   }
 
-  private checkRunner(runner: Runner, now: number): void {
-    if (runner.occupants.size > 0 && runner.leaseEnd > 0 && now > runner.leaseEnd) {
+  private checkRunner(runner: Runner, now: number, steadyNow: number): void {
+    if (runner.hasUnknownLease) {
+      runner.hasUnknownLease = false;
+      extendLease(runner, this.state.bounds, steadyNow);
+    }
+    const runs = runner.occupants.size + runner.runningStrays.length;
+    if (runs > 0 && runner.leaseEnd > 0 && steadyNow > runner.leaseEnd) {
       this.state.log.decide('runnerLeasesExpired', {
         runner: runner.id,
-        tasks: runner.occupants.size,
+        tasks: runs,
         unresponsiveMs: Math.round(now - runner.reportedAt),
+        expiredMs: Math.round(steadyNow - runner.leaseEnd),
       });
-      this.reportHandler.endAllRuns(runner, now);
+      this.reportHandler.endAllRuns(runner, now, steadyNow);
     }
+    runner.strays.forEach(({ task, run }) => {
+      if (this.isStopDue(task, run, now)) {
+        this.state.stops.push({ runnerId: runner.id, task, run });
+      }
+    });
     runner.occupants.forEach(({ group, member, run }) => {
-      const key = occupantKey(member.task, run);
-      const sentAt = this.stopSentAt.get(key);
-      if (member.isStopRequested && sentAt !== undefined && now - sentAt > stopRetryMs) {
+      if (member.isStopRequested && this.isStopDue(member.task, run, now)) {
         this.state.stops.push({ runnerId: runner.id, task: member.task, run });
       }
       const isStalled =
@@ -295,6 +321,11 @@
     });
   }
 
+  private isStopDue(task: string, run: number, now: number): boolean {
+    const sentAt = this.stopSentAt.get(occupantKey(task, run));
+    return sentAt !== undefined && now - sentAt > stopRetryMs;
+  }
+
   // Task groups that save their progress on a stop are stopped as late as possible. Others are
   // moved only if that loses less work than waiting, because the runner may stay longer than
   // announced.
@@ -328,7 +359,8 @@
 
   private removeExpired(now: number): void {
     this.state.runners.forEach((runner) => {
-      if (!runner.isListed && runner.occupants.size === 0) {
+      const mayForget = runner.strays.size === 0 || now - runner.reportedAt > retentionMs;
+      if (!runner.isListed && runner.occupants.size === 0 && mayForget) {
         this.state.runners.delete(runner.id);
       }
     });
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -1,8 +1,11 @@
 import type { DispatchState } from './DispatchState.js';
+import { EndEvidence } from './EndEvidence.js';
 import type { Occupant, Runner } from './Runner.js';
 import { occupantKey } from './Runner.js';
+import { RunHistory } from './RunHistory.js';
 import type { TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 import { RunEnd } from './TaskGroupLifecycle.js';
+import type { TaskGroup } from './TaskGroup.js';
 import { MemberState, TaskGroupPhase } from './TaskGroup.js';
 
 /** A run that a runner reports as running. */
@@ -33,6 +36,8 @@
   readonly requestedAt: number;
   readonly running: readonly RunningTask[];
   readonly ended: readonly EndedTask[];
+  /** Whether the runner may have more ends than listed. */
+  readonly hasMoreEnds: boolean;
 }
 
 const completePercent = 100;
@@ -46,14 +51,20 @@
     private readonly lifecycle: TaskGroupLifecycle,
   ) {}
 
-  public apply(runner: Runner, report: RunnerReport, now: number): void {
-    if (
-      report.processStartedAt !== 0 &&
-      report.processStartedAt !== runner.listed.processStartedAt
-    ) {
+  /** Applies a report; returns false if it is that of an earlier incarnation. */
+  public apply(runner: Runner, report: RunnerReport, now: number): boolean {
+    const { processStartedAt } = runner.listed;
+    if (report.processStartedAt < processStartedAt) {
+      const { id } = runner;
+      const reportedStart = report.processStartedAt;
+      this.state.log.decide('reportOutdated', { runner: id, processStartedAt, reportedStart });
+      return false;
+    }
+    if (report.processStartedAt > processStartedAt) {
       this.restart(runner, report.processStartedAt);
     }
     runner.isFenced = true;
+    runner.isReportDue = false;
     runner.unansweredCalls = 0;
     runner.reportedAt = now;
     runner.reportRequestedAt = Math.max(runner.reportRequestedAt, report.requestedAt);
@@ -63,11 +74,17 @@
       listedKeys.add(occupantKey(running.task, running.run));
       this.applyRunning(runner, running, now);
     });
+    removeVanishedStrays(runner, report, listedKeys);
     runner.occupants.forEach((occupant, key) => {
-      if (occupant.member.reportableSince < report.requestedAt && !listedKeys.has(key)) {
-        this.lifecycle.endRun(runner, occupant, RunEnd.missing, now);
+      // With more ends than listed, the end of the run may be among the others.
+      if (!report.hasMoreEnds && !listedKeys.has(key)) {
+        const { requestedAt } = report;
+        const { missing } = RunEnd;
+        this.lifecycle.endRun(runner, occupant, missing, EndEvidence.absent, requestedAt, now);
+        this.lifecycle.abortVanished(occupant, now);
       }
     });
+    return true;
   }
 
   /**
@@ -78,13 +95,24 @@
     this.state.log.decide('runnerRestarted', { runner: runner.id, startedAt });
     runner.listed = { ...runner.listed, processStartedAt: startedAt };
     runner.isFenced = false;
+    runner.isEntryOutdated = true;
     runner.processedEndNumber = 0;
+    runner.occupants.forEach(({ member }) => member.history.recordRestart());
+    runner.strays.forEach(({ history }) => history.recordRestart());
   }
 
   /** Ends all runs of the runner, whose leases have expired. */
-  public endAllRuns(runner: Runner, now: number): void {
+  public endAllRuns(runner: Runner, now: number, steadyNow: number): void {
     [...runner.occupants.values()].forEach((occupant) => {
-      this.lifecycle.endRun(runner, occupant, RunEnd.lapsed, now);
+      const { lapsed } = RunEnd;
+      const { leaseExpired } = EndEvidence;
+      this.lifecycle.endRun(runner, occupant, lapsed, leaseExpired, steadyNow, now);
+    });
+    runner.runningStrays.forEach((stray) => {
+      stray.isRunning = false;
+      if (!stray.history.mayStart) {
+        runner.removeStray(occupantKey(stray.task, stray.run));
+      }
     });
   }
 
@@ -93,7 +121,9 @@
       return;
     }
     runner.processedEndNumber = ended.number;
-    const occupant = runner.occupants.get(occupantKey(ended.task, ended.run));
+    const key = occupantKey(ended.task, ended.run);
+    runner.removeStray(key);
+    const occupant = runner.occupants.get(key);
     if (occupant === undefined) {
       return;
     }
@@ -106,27 +136,75 @@
       group.job.hasStarted = true;
     }
     group.job.isDirty = true;
-    this.lifecycle.endRun(runner, occupant, ended.end, now);
+    this.lifecycle.endRun(runner, occupant, ended.end, EndEvidence.reported, now, now);
+  }
+
+  private findGroup(task: string): TaskGroup | undefined {
+    const [jobId = '', occurrence = '', stepIndex = '', index = ''] = task.split('.');
+    const groups = this.state.jobs.get(jobId)?.groups;
+    return (
+      groups?.get(`${occurrence}.${stepIndex}.${index}`) ??
+      groups?.get(`${occurrence}.${stepIndex}.${firstMemberIndex}`)
+    );
   }
 
   // One member reported done completes its gang; the other members end shortly after.
   private belongsToFinishedGang({ task, run }: RunningTask): boolean {
-    const [jobId = '', occurrence = '', stepIndex = ''] = task.split('.');
-    const job = this.state.jobs.get(jobId);
-    const group = job?.groups.get(`${occurrence}.${stepIndex}.${firstMemberIndex}`);
+    const group = this.findGroup(task);
     return group?.phase === TaskGroupPhase.done && group.step.isGang && group.run === run;
   }
 
+  // A run that no occupant stands for is stopped, and its task is not started again beside it.
+  private applyStray(runner: Runner, running: RunningTask, now: number): void {
+    const { task, run } = running;
+    const known = runner.strays.get(occupantKey(task, run));
+    if (known?.isRunning) {
+      known.history.recordReportable(now);
+      return;
+    }
+    this.state.stops.push({ runnerId: runner.id, task, run });
+    this.state.log.decide('orphanStopped', { runner: runner.id, ...running });
+    const group = this.findGroup(task);
+    this.reportOverlap(runner, running, group);
+    runner.hasUnknownLease = true;
+    if (known === undefined) {
+      const history = RunHistory.forReported(now);
+      runner.addStray({ task, run, group, history, isRunning: true });
+    } else {
+      known.isRunning = true;
+      known.history.recordReportable(now);
+    }
+  }
+
+  private reportOverlap(
+    runner: Runner,
+    { task, run }: RunningTask,
+    group: TaskGroup | undefined,
+  ): void {
+    const other = group?.members.find((member) => member.task === task);
+    if (group?.isActive && other?.state === MemberState.running) {
+      this.state.counters.overlaps += 1;
+      this.state.log.decide('runsOverlap', {
+        job: group.job.id,
+        task,
+        run,
+        runner: runner.id,
+        otherRun: group.run,
+        otherRunner: other.runnerId,
+      });
+    }
+  }
+
   private applyRunning(runner: Runner, running: RunningTask, now: number): void {
     const occupant = runner.occupants.get(occupantKey(running.task, running.run));
     if (occupant === undefined && this.belongsToFinishedGang(running)) {
       return;
     }
     if (occupant === undefined) {
-      this.state.stops.push({ runnerId: runner.id, task: running.task, run: running.run });
-      this.state.log.decide('orphanStopped', { runner: runner.id, ...running });
+      this.applyStray(runner, running, now);
       return;
     }
+    occupant.member.history.recordReportable(now);
     updateProgress(occupant, running, now);
     if (this.state.policy.detectsSlowRunners) {
       recordSlowdown(runner, occupant, now);
@@ -137,6 +215,19 @@
   }
 }
 
+function removeVanishedStrays(
+  runner: Runner,
+  { requestedAt, hasMoreEnds }: RunnerReport,
+  listedKeys: ReadonlySet<string>,
+): void {
+  const observation = { evidence: EndEvidence.absent, at: requestedAt, leaseEnd: Infinity };
+  runner.strays.forEach(({ history }, key) => {
+    if (!hasMoreEnds && !listedKeys.has(key) && history.isEndedBy(observation)) {
+      runner.removeStray(key);
+    }
+  });
+}
+
 function updateProgress({ group, member }: Occupant, running: RunningTask, now: number): void {
   if (running.saved !== '' && running.saved !== group.saved) {
     group.saved = running.saved;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -16,10 +16,13 @@
   StopCommand,
 } from './DispatchState.js';
 export { defaultPolicy } from './DispatchState.js';
-export { RunEnd, StartOutcome } from './TaskGroupLifecycle.js';
+export { EndEvidence } from './EndEvidence.js';
+export { StartOutcome } from './StartOutcome.js';
+export { RunEnd } from './TaskGroupLifecycle.js';
+export { RunCounters } from './RunCounters.js';
 export type { EndedTask, RunnerReport, RunningTask } from './ReportHandler.js';
 export type { ListedRunner, Runner } from './Runner.js';
 export type { JobRun } from './JobRun.js';
 export { createProgressRecord } from './ProgressRecord.js';
 export type { LearnedState } from './LearnedState.js';
-export type { ProgressRecord } from './ProgressRecord.js';
+export type { ProgressRecord, StoredProgress } from './ProgressRecord.js';
--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -20,6 +20,7 @@
     private readonly dispatcher: Dispatcher,
     private readonly runners: RunnerClient,
     private readonly clock: Clock,
+    private readonly steadyClock: Clock,
     private readonly owner: RunnerLinkOwner,
     private readonly onError: (error: unknown) => void,
   ) {}
@@ -35,23 +36,31 @@
   private async tryStart(command: StartCommand): Promise<void> {
     const { runnerId, task, run } = command;
     const runner = this.dispatcher.state.runners.get(runnerId);
-    let outcome: StartOutcome = StartOutcome.unknown;
+    const outcomes: StartOutcome[] = [];
     for (const attemptMs of startAttemptTimeoutsMs) {
       const { token } = this.owner;
-      if (runner === undefined || token === undefined) {
+      if (
+        runner === undefined ||
+        token === undefined ||
+        runner.listed.processStartedAt !== command.processStartedAt
+      ) {
         break;
       }
       const sentAt = this.clock.monotonic();
-      this.dispatcher.recordLeaseExtension(runnerId, sentAt);
-      outcome = await this.runners.start(runner.listed, command, token, sentAt + attemptMs);
+      this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
+      const outcome = await this.runners.start(runner.listed, command, token, sentAt + attemptMs);
+      outcomes.push(outcome);
       if (outcome !== StartOutcome.unknown) {
         break;
       }
     }
-    if (outcome === StartOutcome.fenced) {
+    if (outcomes.includes(StartOutcome.unknown)) {
+      this.owner.reportUnsettledStart(command, outcomes);
+    }
+    if (outcomes.includes(StartOutcome.fenced)) {
       this.owner.yieldToSuccessor(runnerId);
     }
-    this.dispatcher.recordStartOutcome(runnerId, task, run, outcome, this.clock.monotonic());
+    this.dispatcher.recordStartOutcomes(runnerId, task, run, outcomes, this.clock.monotonic());
     this.owner.wake();
   }
 
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -1,6 +1,6 @@
 import type { Clock, Random } from '@apricothoist/common';
 import { delay } from '@apricothoist/common';
-import type { Dispatcher, Runner } from '@apricothoist/dispatch';
+import type { Dispatcher, Runner, StartCommand, StartOutcome } from '@apricothoist/dispatch';
 
 import type { RunnerClient } from './RunnerClient.js';
 import { RunnerErrorKind } from './RunnerClient.js';
@@ -34,6 +34,8 @@
   /** Ends the term: the runner has seen the token of a newer holder. */
   yieldToSuccessor(runnerId: string): void;
   reportUnansweredCall(runnerId: string, message: string): void;
+  /** Reports the outcomes of all calls of a start command of which one got no answer. */
+  reportUnsettledStart(command: StartCommand, outcomes: readonly StartOutcome[]): void;
 }
 
 /**
@@ -57,6 +59,7 @@
     private readonly dispatcher: Dispatcher,
     private readonly owner: RunnerLinkOwner,
     private readonly clock: Clock,
+    private readonly steadyClock: Clock,
     private readonly random: Random,
   ) {}
 
@@ -73,16 +76,25 @@
 
   private get needsCall(): boolean {
     const { runner } = this;
-    const hasUnacknowledged = this.owner.lastStoredEnd(runner.id) > this.acknowledgedEnd;
     return (
       runner.isListed &&
       (runner.occupants.size > 0 ||
+        runner.strays.size > 0 ||
         !runner.isFenced ||
+        runner.isReportDue ||
         runner.unansweredCalls > 0 ||
-        hasUnacknowledged)
+        this.unacknowledgedEnd > 0)
     );
   }
 
+  // Number of the last end that is stored and not yet acknowledged to this incarnation; 0 if none.
+  private get unacknowledgedEnd(): number {
+    const { runner } = this;
+    const isKnown = runner.listed.processStartedAt === this.processStartedAt;
+    const stored = this.owner.lastStoredEnd(runner.id);
+    return stored > (isKnown ? this.acknowledgedEnd : 0) ? stored : 0;
+  }
+
   private async run(): Promise<void> {
     while (!this.isStopped) {
       if (!this.needsCall) {
@@ -123,13 +135,15 @@
       this.processStartedAt = runner.listed.processStartedAt;
       this.acknowledgedEnd = 0;
     }
-    const isBusy = runner.occupants.size > 0 && runner.isFenced;
-    const acknowledgedEnd = this.owner.lastStoredEnd(runner.id);
+    const isBusy = runner.isFenced && (runner.occupants.size > 0 || runner.strays.size > 0);
+    // After an unanswered call another incarnation may respond, whose ends are numbered anew.
+    const isConfirmed = runner.unansweredCalls === 0 && runner.isFenced;
+    const acknowledgedEnd = isConfirmed ? this.unacknowledgedEnd : 0;
     const extendsLease =
       runner.occupants.size > 0 && runner.unansweredCalls === 0 && runner.isFenced;
     const requestedAt = this.clock.monotonic();
     if (extendsLease) {
-      this.dispatcher.recordLeaseExtension(runner.id, requestedAt);
+      this.dispatcher.recordLeaseExtension(runner.id, this.steadyClock.monotonic());
     }
     const request = { token, acknowledgedEnd, extendsLease, waitMs: isBusy ? reportWaitMs : 0 };
     const deadline = requestedAt + request.waitMs + responseTimeoutMs;
@@ -138,18 +152,19 @@
       return;
     }
     if (report.isOk()) {
-      this.retryMs = firstRetryMs;
-      this.acknowledgedEnd = Math.max(this.acknowledgedEnd, acknowledgedEnd);
-      this.dispatcher.applyReport(runner.id, report.value, this.clock.monotonic());
-      this.owner.wake();
-      return;
-    }
-    if (report.error.kind === RunnerErrorKind.fenced) {
+      if (this.dispatcher.applyReport(runner.id, report.value, this.clock.monotonic())) {
+        this.retryMs = firstRetryMs;
+        this.acknowledgedEnd = Math.max(this.acknowledgedEnd, acknowledgedEnd);
+        this.owner.wake();
+        return;
+      }
+    } else if (report.error.kind === RunnerErrorKind.fenced) {
       this.owner.yieldToSuccessor(runner.id);
       return;
     }
     if (runner.unansweredCalls === 0) {
-      this.owner.reportUnansweredCall(runner.id, report.error.message);
+      const message = report.isErr() ? report.error.message : 'report of an earlier incarnation';
+      this.owner.reportUnansweredCall(runner.id, message);
     }
     this.dispatcher.recordUnansweredCall(runner.id);
     this.owner.wake();
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -1,7 +1,15 @@
 import type { Clock, Random } from '@apricothoist/common';
 import { delay, messageOf } from '@apricothoist/common';
-import type { DispatchBounds, ListedRunner, Runner } from '@apricothoist/dispatch';
-import { Dispatcher } from '@apricothoist/dispatch';
+import type {
+  DecisionLog,
+  DispatchBounds,
+  ListedRunner,
+  RunCounters,
+  Runner,
+  StartCommand,
+  StartOutcome,
+} from '@apricothoist/dispatch';
+import { defaultPolicy, Dispatcher } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
 import type { Result } from 'neverthrow';
 
@@ -50,9 +58,12 @@
   readonly registry: RunnerRegistry;
   readonly runners: RunnerClient;
   readonly clock: Clock;
+  /** Clock that never runs ahead; leases of runners are judged by it. */
+  readonly steadyClock: Clock;
   readonly random: Random;
   readonly log: EventLog;
   readonly bounds: DispatchBounds;
+  readonly counters: RunCounters;
   /** Fencing token while the lease is valid, undefined otherwise. */
   readonly token: () => number | undefined;
   readonly resign: (reason: string) => void;
@@ -98,18 +109,24 @@
     private readonly termToken: number,
     configuration: OperatorConfiguration | undefined,
   ) {
-    const { store, clock, random, log, bounds } = services;
-    this.dispatcher = new Dispatcher(bounds, {
+    const { store, clock, steadyClock, random, log, bounds, counters } = services;
+    const decisionLog: DecisionLog = {
       decide: (kind, fields) => log.emit(DecisionEvents[kind], fields),
-    });
+    };
+    this.dispatcher = new Dispatcher(bounds, decisionLog, defaultPolicy, counters);
     if (configuration !== undefined) {
       this.configure(configuration);
     }
     const { runners } = services;
-    this.commandSender = new CommandSender(this.dispatcher, runners, clock, this, (error) =>
-      this.logError(error),
+    this.commandSender = new CommandSender(
+      this.dispatcher,
+      runners,
+      clock,
+      steadyClock,
+      this,
+      (error) => this.logError(error),
     );
-    this.jobLoader = new StoredJobLoader(this.dispatcher, clock, log);
+    this.jobLoader = new StoredJobLoader(this.dispatcher, clock, steadyClock, log);
     const followSettings = { watchMs, watchesPerRead: Infinity };
     this.watch = new PrefixFollower(store, clock, random, StoreKeys.jobPrefix, followSettings);
     this.watch.onItems(({ items }) => {
@@ -171,6 +188,21 @@
     this.resign(`runner ${runnerId} was called with a newer token`);
   }
 
+  public reportUnsettledStart(command: StartCommand, outcomes: readonly StartOutcome[]): void {
+    const { log, counters } = this.services;
+    const { runnerId, jobId, task, run } = command;
+    counters.unsettledStarts += 1;
+    log.emit(JobEvents.startUnsettled, {
+      job: jobId,
+      task,
+      run,
+      runner: runnerId,
+      startedAt: this.dispatcher.state.runners.get(runnerId)?.listed.processStartedAt,
+      token: this.termToken,
+      outcomes: outcomes.join(','),
+    });
+  }
+
   public reportUnansweredCall(runnerId: string, message: string): void {
     this.services.log.emit(JobEvents.runnerUnanswered, { runner: runnerId, message });
   }
@@ -247,7 +279,8 @@
 
   private async step(): Promise<void> {
     this.listRunnersIfDue();
-    const commands = this.dispatcher.step(this.now, this.services.clock.wall());
+    const { clock, steadyClock } = this.services;
+    const commands = this.dispatcher.step(this.now, clock.wall(), steadyClock.monotonic());
     commands.stops.forEach((command) => this.commandSender.stop(command));
     const changed = this.dispatcher.takeUnstoredJobs();
     const ends = [...this.dispatcher.state.runners.values()]
@@ -335,8 +368,9 @@
   }
 
   private addLink(runner: Runner): void {
-    const { runners, clock, random } = this.services;
-    const link = new RunnerLink(runner, runners, this.dispatcher, this, clock, random);
+    const { runners, clock, steadyClock, random } = this.services;
+    const { dispatcher } = this;
+    const link = new RunnerLink(runner, runners, dispatcher, this, clock, steadyClock, random);
     this.links.set(runner.id, link);
     link.start((error) => this.logError(error));
   }
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -2,7 +2,7 @@
 
 import { delay, Random, SystemClock } from '@apricothoist/common';
 import type { Queue } from '@apricothoist/dispatch';
-import { JobState, StartOutcome } from '@apricothoist/dispatch';
+import { JobState, RunCounters, StartOutcome } from '@apricothoist/dispatch';
 import { EventLog, linesDropped, LogFormat, LogLevel } from '@apricothoist/telemetry';
 import {
   createSpecification,
@@ -100,9 +100,11 @@
       registry: { list: async () => ok([]) },
       runners: {} as RunnerClient,
       clock,
+      steadyClock: clock,
       random: new Random(1),
       log: new EventLog('test', LogLevel.error, LogFormat.json, clock),
       bounds: replayBounds,
+      counters: new RunCounters(),
       token: () => 7,
       resign: (reason) => resigned.push(reason),
       publish: () => {},
@@ -201,7 +203,7 @@
     report: async (_runner, { waitMs }) => {
       const requestedAt = new SystemClock().monotonic();
       await delay(waitMs / 10);
-      return ok({ processStartedAt: 1, requestedAt, running: [], ended: [] });
+      return ok({ processStartedAt: 1, requestedAt, running: [], ended: [], hasMoreEnds: false });
     },
   };
   const scheduling = createScheduling(store, [], {
--- a/packages/testing/src/ReplaySimulation.ts
+++ b/packages/testing/src/ReplaySimulation.ts
@@ -231,7 +231,7 @@
       }
       this.runners.forEach((runner) => this.reportRunner(runner));
       const stepStartedAt = performance.now();
-      const { starts, stops } = this.dispatcher.step(this.now, this.now);
+      const { starts, stops } = this.dispatcher.step(this.now, this.now, this.now);
       this.stepMs.push(performance.now() - stepStartedAt);
       this.dispatcher.takeUnstoredJobs();
       stops.forEach(({ runnerId, task, run }) => this.stopTask(runnerId, `${task}#${run}`));
@@ -294,6 +294,7 @@
       requestedAt: this.now - 1,
       running,
       ended: runner.unreportedEnds,
+      hasMoreEnds: false,
     };
     this.dispatcher.applyReport(runner.entry.id, report, this.now);
     runner.unreportedEnds = [];
@@ -319,11 +320,11 @@
       .map((decide) => decide(command))
       .find((outcome) => outcome !== undefined);
     const outcome = intercepted ?? this.tryStart(runner, command);
-    this.dispatcher.recordStartOutcome(
+    this.dispatcher.recordStartOutcomes(
       command.runnerId,
       command.task,
       command.run,
-      outcome,
+      [outcome],
       this.now,
     );
   }
