--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -54,14 +54,16 @@
   /** Applies a report; returns false if it is that of an earlier incarnation. */
   public apply(runner: Runner, report: RunnerReport, now: number): boolean {
     const { processStartedAt } = runner.listed;
-    if (report.processStartedAt < processStartedAt) {
+    // A process that is asked after another one was known is not an earlier one, whatever its clock.
+    const isEarlier = report.processStartedAt < processStartedAt;
+    if (isEarlier && report.requestedAt <= runner.incarnationKnownAt) {
       const { id } = runner;
       const reportedStart = report.processStartedAt;
       this.state.log.decide('reportOutdated', { runner: id, processStartedAt, reportedStart });
       return false;
     }
-    if (report.processStartedAt > processStartedAt) {
-      this.restart(runner, report.processStartedAt);
+    if (report.processStartedAt !== processStartedAt) {
+      this.restart(runner, report.processStartedAt, now);
     }
     runner.isFenced = true;
     runner.isReportDue = false;
@@ -91,8 +93,9 @@
    * Records that the runner process was restarted. Its tasks are left unchanged until the next
    * report, because a task may already have been started by the new process.
    */
-  public restart(runner: Runner, startedAt: number): void {
+  public restart(runner: Runner, startedAt: number, now: number): void {
     this.state.log.decide('runnerRestarted', { runner: runner.id, startedAt });
+    runner.incarnationKnownAt = now;
     runner.listed = { ...runner.listed, processStartedAt: startedAt };
     runner.isFenced = false;
     runner.isEntryOutdated = true;
@@ -122,9 +125,14 @@
     }
     runner.processedEndNumber = ended.number;
     const key = occupantKey(ended.task, ended.run);
+    const isStray = runner.strays.get(key)?.isRunning === true;
     runner.removeStray(key);
     const occupant = runner.occupants.get(key);
     if (occupant === undefined) {
+      const group = this.findGroup(ended.task);
+      if (group !== undefined && (isStray || ended.end === RunEnd.done)) {
+        this.lifecycle.endUnheldRun(group, ended.run, ended.end, now);
+      }
       return;
     }
     const { group } = occupant;
@@ -151,7 +159,7 @@
   // One member reported done completes its gang; the other members end shortly after.
   private belongsToFinishedGang({ task, run }: RunningTask): boolean {
     const group = this.findGroup(task);
-    return group?.phase === TaskGroupPhase.done && group.step.isGang && group.run === run;
+    return group?.phase === TaskGroupPhase.done && group.step.isGang && group.doneRun === run;
   }
 
   // A run that no occupant stands for is stopped, and its task is not started again beside it.
--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -68,7 +68,7 @@
   fixture.report('r1', [], [endedTask(1, 0, RunEnd.stopped, 'half')]);
   fixture.report('r2');
   t.is(fixture.step(500).starts.length, 0, 'the start on r2 may still be executed');
-  fixture.dispatcher.recordStopResponse('r2', second?.task ?? '', 1, fixture.now);
+  fixture.dispatcher.recordStopResponse('r2', 1, second?.task ?? '', 1, fixture.now);
   fixture.now += 1;
   fixture.report('r2');
   const again = fixture.step(1_500).starts;
@@ -137,6 +137,20 @@
   t.is(fixture.state, 'completed');
 });
 
+test('a restarted runner whose clock was set back is used again once it is listed', (t) => {
+  const fixture = new DispatchFixture([fixtureStep], undefined, ['r1', 'r2', 'r3']);
+  fixture.report('r1', [], [], 1);
+  fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], fixture.now);
+  fixture.now += 10;
+  fixture.report('r1', [], [], 5);
+  const runner = fixture.dispatcher.state.runners.get('r1');
+  t.is(runner?.listed.processStartedAt, 5);
+  t.true(runner?.isEntryOutdated);
+  fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 5 })], fixture.now);
+  t.false(runner?.isEntryOutdated);
+  t.true(runner?.isFenced);
+});
+
 test('a registry entry of a new incarnation does not end tasks started by it', (t) => {
   const fixture = new DispatchFixture();
   fixture.start();
--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -11,6 +11,8 @@
  * waits for its members. A retry repeats the same command, which the runner executes only once.
  */
 const startAttemptTimeoutsMs = [250, 400, 600];
+/** Milliseconds after which no further call of a start is sent, for the sake of its gang. */
+const startPeriodMs = 1_300;
 /** Timeout in milliseconds of a stop call; the dispatcher repeats the command if it fails. */
 const stopTimeoutMs = 500;
 
@@ -37,16 +39,17 @@
     const { runnerId, task, run } = command;
     const runner = this.dispatcher.state.runners.get(runnerId);
     const outcomes: StartOutcome[] = [];
+    const sendBy = this.clock.monotonic() + startPeriodMs;
     for (const attemptMs of startAttemptTimeoutsMs) {
       // The run must not count as ended by its lease while the call waits for the confirmation.
       this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
       const isConfirmed = await this.owner.confirmRunner(runnerId);
       const { token } = this.owner;
-      const maySend = isConfirmed && token !== undefined && this.dispatcher.mayStart(command);
-      if (runner === undefined || !maySend) {
+      const sentAt = this.clock.monotonic();
+      const maySend = isConfirmed && sentAt <= sendBy && this.dispatcher.mayStart(command);
+      if (runner === undefined || token === undefined || !maySend) {
         break;
       }
-      const sentAt = this.clock.monotonic();
       this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
       const outcome = await this.runners.start(runner.listed, command, token, sentAt + attemptMs);
       outcomes.push(outcome);
@@ -54,6 +57,10 @@
         break;
       }
     }
+    // The answers came from a process that is gone; the present one may still get the calls.
+    if (outcomes.length > 0 && runner?.listed.processStartedAt !== command.processStartedAt) {
+      outcomes.push(StartOutcome.unknown);
+    }
     if (outcomes.includes(StartOutcome.unknown)) {
       this.owner.reportUnsettledStart(command, outcomes);
     }
@@ -71,10 +78,12 @@
     if (runner === undefined || runner.listed.address === '' || token === undefined) {
       return;
     }
+    const { processStartedAt } = runner.listed;
     const deadline = this.clock.monotonic() + stopTimeoutMs;
     const response = await this.runners.stop(runner.listed, command, token, deadline);
     if (response.isOk()) {
-      this.dispatcher.recordStopResponse(runnerId, task, run, this.clock.monotonic());
+      const now = this.clock.monotonic();
+      this.dispatcher.recordStopResponse(runnerId, processStartedAt, task, run, now);
       this.owner.wake();
     } else if (response.error.kind === RunnerErrorKind.fenced) {
       this.owner.yieldToSuccessor(runnerId);
