Daemon: red test of an instance that one list does not contain

The renewal fence counts the leases of a plan revision as expired once all known instances have reached it. An instance that is silent for 30 s and that one read of the platform's list does not contain is forgotten; the tombstone then keeps it out although the next list contains it. Cut off from the store and its peers only, it renews leases of its old plan for up to four hours, and the fence no longer waits for it: the attempts count as stopped, and the jobs are placed again.

Seen: the fence is at revision 9; the silent instance has reported 5.

--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -2,6 +2,8 @@
 
 import { Random } from '@apricothoist/common';
 import { Adjacency, ConfigurationBuilder, parseConfiguration, Urgency } from '@apricothoist/config';
+import type { Digest } from '@apricothoist/mesh';
+import { Membership, MemberState } from '@apricothoist/mesh';
 import type { WorkerClient } from '@apricothoist/platform';
 import { BudgetedStore, WorkerError, WorkerErrorKind } from '@apricothoist/platform';
 import { ClaimResult } from '@apricothoist/router';
@@ -449,3 +451,36 @@
   clock.advance(8_000);
   t.is(fence.revision(), 5, 'an unresponsive instance may still renew leases');
 });
+
+// One partial list is enough to forget an instance, and later lists do not add it again.
+test('the fence waits for an unresponsive instance that one list does not contain', (t) => {
+  const clock = new ManualClock();
+  const fence = new RenewalFence(clock, taskLeaseMs);
+  const members = new Membership('self', 'a');
+  const identity = { instanceId: 'other', dataCentre: 'a', address: 'other:1' };
+  const digest: Digest = {
+    ...identity,
+    sequence: 1,
+    isLeaving: false,
+    configurationRevision: 1,
+    planRevision: 5,
+    planConfirmedAt: clock.wall(),
+    services: [],
+    endpoints: [],
+    leavingEndpoints: [],
+    peers: [],
+  };
+  members.updateListed([identity], clock.monotonic());
+  members.applyDigest(digest, clock.monotonic());
+  for (let second = 1; second <= 60; second += 1) {
+    clock.advance(1_000);
+    members.updateListed(second === 40 ? [] : [identity], clock.monotonic());
+    members.detectTimeouts(clock.monotonic());
+    const renewers = members.all.map((member) => ({
+      isResponsive: member.state === MemberState.alive,
+      planRevision: member.digest?.planRevision ?? -1,
+    }));
+    fence.record(renewers, 9);
+  }
+  t.true(fence.revision() <= 5, `leases of revision 5 count as expired at ${fence.revision()}`);
+});
