Dispatch: red test of a gang run that fails across a takeover

Whether a run has already counted as failed is not stored. If one member of a gang fails before a takeover and another one after it, the run counts as two failures, and the job fails after fewer runs than allowed.

Seen: 2 failures where 1 is expected.

--- a/packages/dispatch/src/takeover.test.ts
+++ b/packages/dispatch/src/takeover.test.ts
@@ -54,3 +54,18 @@
   after.report('r3');
   t.is(after.step(1_500).starts.length, 2);
 });
+
+// The whole gang fails once; only the first failed member is known before the takeover.
+test('a run whose members fail before and after a takeover counts as one failure', (t) => {
+  const before = new DispatchFixture();
+  before.start();
+  before.report('r1', [], [endedTask(1, 0, RunEnd.failed)]);
+  before.step();
+  const job = before.dispatcher.state.jobs.get(fixtureJobId);
+  const progress = createProgressRecord(job as NonNullable<typeof job>);
+  t.is(progress.units[0]?.[2], 1, 'failures before the takeover');
+  const after = new DispatchFixture([fixtureStep], { progress, version: 7 });
+  after.report('r2', [], [endedTask(1, 1, RunEnd.failed)]);
+  const [group] = after.dispatcher.state.jobs.get(fixtureJobId)?.groups.values() ?? [];
+  t.is(group?.failures, 1);
+});
