--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -8,6 +8,9 @@
 /** Seeds that are run with the short options. */
 const seeds = [1, 2];
 
+/** Seeds that are run with the short options and faults of calls to runners. */
+const callSeeds = [5];
+
 /** Seeds that found a fault once, with its cause. */
 const regressions: Readonly<Record<number, string>> = {
   3: 'a SIGHUP terminated instances during start-up',
@@ -24,6 +27,14 @@
   });
 });
 
+callSeeds.forEach((seed) => {
+  test.serial(`seed ${seed} violates no invariant under faults of calls to runners`, async (t) => {
+    const result = await runSeed({ seed, ...shortRun, disruptsCalls: true });
+    t.true(result.accepted > 0);
+    t.deepEqual(result.violations, [], `${result.faults.join(' ')}\n${result.logs.slice(-4_000)}`);
+  });
+});
+
 Object.entries(regressions).forEach(([seed, cause]) => {
   test.serial(`seed ${seed} found a fault before: ${cause}`, async (t) => {
     const result = await runSeed({ seed: Number(seed), ...defaultRun });
