Wait for the leases of a worker that is missing from the list

With a partial list, the next attempt started 5.2 s after the worker was cut off, beside the first one. It counts as gone after the report timeout and a lease now. Evidence: 'a worker missing from the list does not run its job beside the next attempt' failed before and passes now; the tests of daemon and faults pass but for the listed one. Price: after a real loss with its removal from the list, 8 s more until the job starts again.

--- a/packages/daemon/src/WorkerGateway.ts
+++ b/packages/daemon/src/WorkerGateway.ts
@@ -288,8 +288,9 @@
     });
   }
 
+  // The list may be partial, so a worker is gone only once the leases of its tasks have expired.
   private isGone(worker: TrackedWorker): boolean {
-    const staleBefore = this.clock.wall() - workerTimeoutMs;
+    const staleBefore = this.clock.wall() - workerTimeoutMs - taskLeaseMs;
     return worker.missedReads >= missedReadsLimit && worker.observation.reportedAt < staleBefore;
   }
 }
