--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -196,7 +196,7 @@
   }
 
   /** Whether the run of a start command is still wanted, on the incarnation it was chosen for. */
-  public mayStart({ runnerId, processStartedAt, task, run }: StartCommand): boolean {
+  public isStartWanted({ runnerId, processStartedAt, task, run }: StartCommand): boolean {
     const runner = this.state.runners.get(runnerId);
     const member = runner?.occupants.get(occupantKey(task, run))?.member;
     return (
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -113,7 +113,7 @@
     });
     runner.runningStrays.forEach((stray) => {
       stray.isRunning = false;
-      if (!stray.history.mayStart) {
+      if (!stray.history.mayStillStart) {
         runner.removeStray(occupantKey(stray.task, stray.run));
       }
     });
--- a/packages/dispatch/src/RunHistory.ts
+++ b/packages/dispatch/src/RunHistory.ts
@@ -69,7 +69,7 @@
   }
 
   /** Whether the runner may still start the run, unless its lease has expired. */
-  public get mayStart(): boolean {
+  public get mayStillStart(): boolean {
     return this.hasOpenCall && this.reportableSince === Infinity;
   }
 
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -150,7 +150,7 @@
 
   /** Whether a call may still start a run whose end was proven by an expired lease. */
   public get mayStartStray(): boolean {
-    return [...this.strayRuns.values()].some(({ history }) => history.mayStart);
+    return [...this.strayRuns.values()].some(({ history }) => history.mayStillStart);
   }
 
   /** Resources used by all occupants and stray runs, including those being stopped. */
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -300,7 +300,7 @@
     this.recordEvidence(runner, occupant, evidence, now);
     runner.removeOccupant(member.task, run);
     // The proof by an expired lease holds only until a call extends the lease again.
-    if (evidence === EndEvidence.leaseExpired && member.history.mayStart) {
+    if (evidence === EndEvidence.leaseExpired && member.history.mayStillStart) {
       const { task, history } = member;
       runner.addStray({ task, run, group, history, isRunning: false });
       this.state.stops.push({ runnerId: runner.id, task, run });
