--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -292,7 +292,7 @@
     runner.isFenced &&
     !runner.isEntryOutdated &&
     !runner.isReportDue &&
-    !runner.mayStartStray &&
+    !runner.isBlockedByStray &&
     runner.unansweredCalls === 0 &&
     runner.quarantinedUntil <= now
   );
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -148,9 +148,15 @@
     return [...this.strayRuns.values()].filter(({ isRunning }) => isRunning);
   }
 
-  /** Whether a call may still start a run whose end was proven by an expired lease. */
-  public get mayStartStray(): boolean {
-    return [...this.strayRuns.values()].some(({ history }) => history.mayStillStart);
+  /**
+   * Whether a stray run forbids further starts here: a call may still start it, or it runs with an
+   * unknown size because its job has ended.
+   */
+  public get isBlockedByStray(): boolean {
+    return [...this.strayRuns.values()].some(
+      ({ history, isRunning, group }) =>
+        history.mayStillStart || (isRunning && group === undefined),
+    );
   }
 
   /** Resources used by all occupants and stray runs, including those being stopped. */
--- a/packages/dispatch/src/strayRuns.test.ts
+++ b/packages/dispatch/src/strayRuns.test.ts
@@ -103,3 +103,12 @@
     [2],
   );
 });
+
+test('a runner with a run of unknown size is not used until the run has been stopped', (t) => {
+  const fixture = new DispatchFixture([single], undefined, ['r1']);
+  const unknown = { ...runningTask(0), task: 'ffffffffffffffff.0.0.0' };
+  fixture.report('r1', [unknown]);
+  t.deepEqual(fixture.step().starts, []);
+  fixture.report('r1');
+  t.is(fixture.step().starts.length, 1);
+});
