Log and metrics tell an incomplete answer of the store from none

Callers got 503 for minutes while J710 said *no answer* from the store, which had answered each call. Whether nothing or most of a large answer had arrived was not to be told (hypothesis 1 against an unresponsive store).

--- a/packages/instance/src/ConfigurationFollower.ts
+++ b/packages/instance/src/ConfigurationFollower.ts
@@ -31,6 +31,8 @@
 
   private configuration: OperatorConfiguration | undefined;
 
+  private currentBytes = 0;
+
   /** Monotonic milliseconds; every change acknowledged before this time is known. */
   private confirmedAt = -Infinity;
 
@@ -58,6 +60,11 @@
     return this.configuration;
   }
 
+  /** Size of the stored value of the current configuration in bytes; 0 if there is none. */
+  public get sizeBytes(): number {
+    return this.currentBytes;
+  }
+
   /**
    * Milliseconds for which a newer configuration may have been in effect without being known here.
    */
@@ -90,6 +97,7 @@
       const isNewer = decoded.value.version > (this.configuration?.version ?? -1);
       if (isNewer) {
         this.configuration = decoded.value;
+        this.currentBytes = Buffer.byteLength(value);
         this.applied.fire(decoded.value);
       }
     });
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -160,6 +160,7 @@
       board_age_milliseconds: Math.round(this.statusCache.ageMs),
       configuration_version: this.configurationFollower.current?.version ?? 0,
       configuration_age_milliseconds: Math.round(this.configurationFollower.ageMs),
+      configuration_bytes: this.configurationFollower.sizeBytes,
       log_lines_dropped: this.services.log.droppedLines,
     };
   }
@@ -185,6 +186,7 @@
         version: configuration.version,
         routes: configuration.routes.length,
         accounts: configuration.accounts.length,
+        bytes: this.configurationFollower.sizeBytes,
       });
       this.scheduling?.configure(configuration);
     });
--- a/packages/platform/src/HttpStoreTransport.ts
+++ b/packages/platform/src/HttpStoreTransport.ts
@@ -5,8 +5,8 @@
 import { err, ok } from 'neverthrow';
 import { z } from 'zod';
 
-import type { HttpResponse, HttpCall, HttpError } from './httpCall.js';
-import { httpCall, HttpErrorKind } from './httpCall.js';
+import type { HttpResponse, HttpCall, HttpError, HttpErrorKind } from './httpCall.js';
+import { hasExpired, httpCall } from './httpCall.js';
 import type { StoreChanges, StoredValue, StoreTransport, StoreWrite } from './Store.js';
 import { StoreError, StoreErrorKind } from './StoreError.js';
 
@@ -19,12 +19,14 @@
   notSent: StoreErrorKind.unavailable,
   broken: StoreErrorKind.unavailable,
   timeout: StoreErrorKind.timeout,
+  incomplete: StoreErrorKind.timeout,
   tooLarge: StoreErrorKind.malformed,
 };
 const writeErrorKinds: Record<HttpErrorKind, StoreErrorKind> = {
   notSent: StoreErrorKind.unavailable,
   broken: StoreErrorKind.unknown,
   timeout: StoreErrorKind.unknown,
+  incomplete: StoreErrorKind.unknown,
   tooLarge: StoreErrorKind.unknown,
 };
 
@@ -105,7 +107,7 @@
     kinds: Record<HttpErrorKind, StoreErrorKind>,
   ): Promise<Result<HttpResponse, StoreError>> {
     const result = await httpCall({ agent: this.agent, ...call }, this.clock);
-    if (result.isErr() && result.error.kind === HttpErrorKind.timeout) {
+    if (result.isErr() && hasExpired(result.error)) {
       this.replaceConnections();
     }
     return result
--- a/packages/platform/src/httpCall.ts
+++ b/packages/platform/src/httpCall.ts
@@ -11,8 +11,10 @@
   notSent: 'notSent',
   /** The connection failed, or the response was truncated, after the request was sent. */
   broken: 'broken',
-  /** No complete response before the deadline. */
+  /** No response before the deadline. */
   timeout: 'timeout',
+  /** Only a part of the response before the deadline. */
+  incomplete: 'incomplete',
   /** The response exceeds the size limit. */
   tooLarge: 'tooLarge',
 } as const;
@@ -21,6 +23,11 @@
 /** A failed HTTP call. */
 export class HttpError extends LayerError<HttpErrorKind> {}
 
+/** Whether the call ended at its deadline, so that its connection may be unresponsive. */
+export function hasExpired({ kind }: HttpError): boolean {
+  return kind === HttpErrorKind.timeout || kind === HttpErrorKind.incomplete;
+}
+
 export interface HttpCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly url: string;
@@ -46,15 +53,13 @@
     let isSent = false;
     const chunks: Buffer[] = [];
     let size = 0;
+    let expectedBytes = 'unknown';
     const outgoing = request(call.url, {
       method: call.method,
       agent: call.agent,
       headers: { ...call.headers, 'content-length': Buffer.byteLength(call.body ?? '') },
     });
-    const timer = setTimeout(
-      () => finish(err(new HttpError(HttpErrorKind.timeout, `no answer from ${call.url}`))),
-      Math.max(0, call.deadline - clock.monotonic()),
-    );
+    const timer = setTimeout(expire, Math.max(0, call.deadline - clock.monotonic()));
     function finish(result: Result<HttpResponse, HttpError>): void {
       clearTimeout(timer);
       if (result.isErr()) {
@@ -62,6 +67,14 @@
       }
       resolve(result);
     }
+    function expire(): void {
+      const message =
+        size === 0
+          ? `no answer from ${call.url}`
+          : `answer of ${call.url} incomplete after ${size} of ${expectedBytes} bytes`;
+      const kind = size === 0 ? HttpErrorKind.timeout : HttpErrorKind.incomplete;
+      finish(err(new HttpError(kind, message)));
+    }
     function fail(error: unknown): void {
       const kind = isSent ? HttpErrorKind.broken : HttpErrorKind.notSent;
       finish(err(new HttpError(kind, `${call.url}: ${messageOf(error)}`, { cause: error })));
@@ -77,6 +90,7 @@
     });
     outgoing.on('error', fail);
     outgoing.on('response', (response) => {
+      expectedBytes = response.headers['content-length'] ?? expectedBytes;
       response.on('data', (chunk: Buffer) => {
         size += chunk.length;
         chunks.push(chunk);
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -29,5 +29,5 @@
 export { WorkerError, WorkerErrorKind } from './WorkerError.js';
 export { HttpWorkerClient } from './HttpWorkerClient.js';
 export { AgentPool } from './AgentPool.js';
-export { httpCall, HttpError, HttpErrorKind } from './httpCall.js';
+export { hasExpired, httpCall, HttpError, HttpErrorKind } from './httpCall.js';
 export type { HttpResponse, HttpCall } from './httpCall.js';
