An answer of the store is received as long as it arrives

Callers got no answer about accepted jobs (LOST) and 503 from 26 of 34 instances for 85 s: their configuration was too old to check API keys. Cause: a read of the configuration has 700 ms, whatever its size. The class: a limit of time that stays fixed while what it limits grows.

Ruled out: an unresponsive store (bytes arrived in each second, no failed call in its own count); a single lost call (26 instances for 85 s); a holder without its stored jobs (followers had a feed).

The call ends only after parts that had arrived meanwhile were received, so that a busy process does not take its own delay for the store's.

--- a/packages/instance/src/CoordinationStore.ts
+++ b/packages/instance/src/CoordinationStore.ts
@@ -52,7 +52,8 @@
 
 /**
  * Client of the coordination store, which all instances share. Deadlines are monotonic
- * milliseconds.
+ * milliseconds. That of a list or a watch is extended while its answer arrives: the answer may be of
+ * any size.
  */
 export interface CoordinationStore {
   /** Largest number of entries in a transaction: expectations, writes and deletes together. */
--- a/packages/platform/src/httpCall.ts
+++ b/packages/platform/src/httpCall.ts
@@ -28,6 +28,14 @@
   return kind === HttpErrorKind.timeout || kind === HttpErrorKind.incomplete;
 }
 
+/** Extension of a deadline by each part of a response, for responses of any size over any link. */
+export interface DeadlineExtension {
+  /** Milliseconds without a byte after which a response that has begun counts as broken off. */
+  readonly idleTimeoutMs: number;
+  /** Monotonic milliseconds beyond which the deadline is not extended. */
+  readonly finalDeadline: number;
+}
+
 export interface HttpCall {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly url: string;
@@ -35,6 +43,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Monotonic milliseconds. */
   readonly deadline: number;
+  /** Extends the deadline while the response arrives; without it, the deadline is final. */
+  readonly extension?: DeadlineExtension;
   /** Connection pool, or false for a separate connection. */
   readonly agent: Agent | false;
 }
@@ -54,20 +64,42 @@
     const chunks: Buffer[] = [];
     let size = 0;
     let expectedBytes = 'unknown';
+    let { deadline } = call;
+    let isFinished = false;
     const outgoing = request(call.url, {
       method: call.method,
       agent: call.agent,
       headers: { ...call.headers, 'content-length': Buffer.byteLength(call.body ?? '') },
     });
-    const timer = setTimeout(expire, Math.max(0, call.deadline - clock.monotonic()));
+    let timer = setTimeout(expire, Math.max(0, deadline - clock.monotonic()));
     function finish(result: Result<HttpResponse, HttpError>): void {
+      isFinished = true;
       clearTimeout(timer);
       if (result.isErr()) {
         outgoing.destroy();
       }
       resolve(result);
     }
+    // A part that arrived while the process was busy is received before the call ends.
     function expire(): void {
+      const expiredTimer = timer;
+      setImmediate(() => {
+        if (expiredTimer === timer && !isFinished) {
+          endAtDeadline();
+        }
+      });
+    }
+    function extendDeadline(): void {
+      if (call.extension === undefined || isFinished) {
+        return;
+      }
+      const { idleTimeoutMs, finalDeadline } = call.extension;
+      const now = clock.monotonic();
+      deadline = Math.max(deadline, Math.min(now + idleTimeoutMs, finalDeadline));
+      clearTimeout(timer);
+      timer = setTimeout(expire, Math.max(0, deadline - now));
+    }
+    function endAtDeadline(): void {
       const message =
         size === 0
           ? `no answer from ${call.url}`
@@ -94,6 +126,7 @@
       response.on('data', (chunk: Buffer) => {
         size += chunk.length;
         chunks.push(chunk);
+        extendDeadline();
         if (size > maxResponseBytes) {
           finish(err(new HttpError(HttpErrorKind.tooLarge, `answer of ${call.url} is too large`)));
         }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -30,4 +30,4 @@
 export { HttpWorkerClient } from './HttpWorkerClient.js';
 export { AgentPool } from './AgentPool.js';
 export { hasExpired, httpCall, HttpError, HttpErrorKind } from './httpCall.js';
-export type { HttpResponse, HttpCall } from './httpCall.js';
+export type { DeadlineExtension, HttpResponse, HttpCall } from './httpCall.js';
