A refused watch is continued from its revision instead of reading everything

Over a slow link the read takes longer than what is left until requests with a key have to be refused.

A refused watch is repeated from the same revision and at first does not wait, so that the age is known again soon.

--- a/packages/instance/src/PrefixFollower.ts
+++ b/packages/instance/src/PrefixFollower.ts
@@ -22,6 +22,9 @@
   readonly watchesPerRead: number;
 }
 
+/** Milliseconds that the first watch after a refused one waits. */
+const catchUpWatchMs = 10;
+
 /** Follows all keys below a prefix: reads them once, then watches for changes in a loop. */
 export class PrefixFollower implements Disposable {
   private readonly itemsReceived = new Emitter<FollowedItems>();
@@ -35,6 +38,14 @@
 
   private isStopped = false;
 
+  /** Revision up to which the items are known; undefined if they have to be read. */
+  private revision: number | undefined;
+
+  private watchesSinceRead = 0;
+
+  /** Whether the last call failed. */
+  private hasFailed = false;
+
   public constructor(
     private readonly store: CoordinationStore,
     private readonly clock: Clock,
@@ -49,47 +60,56 @@
   }
 
   private async follow(known: number | undefined): Promise<void> {
-    let revision = known;
-    let watches = 0;
+    this.revision = known;
     while (!this.isStopped) {
-      const isRead = revision === undefined || watches >= this.settings.watchesPerRead;
-      revision = await (isRead ? this.read() : this.watch(revision as number));
-      watches = isRead ? 0 : watches + 1;
-      if (revision === undefined && !this.isStopped) {
+      const isRead =
+        this.revision === undefined || this.watchesSinceRead >= this.settings.watchesPerRead;
+      const hasSucceeded = await (isRead ? this.read() : this.watch(this.revision as number));
+      this.hasFailed = !hasSucceeded;
+      if (!hasSucceeded && !this.isStopped) {
         await delay(this.random.jitter(StoreTiming.retryMs, StoreTiming.retryJitter));
       }
     }
   }
 
-  private async read(): Promise<number | undefined> {
+  private async read(): Promise<boolean> {
     const requestedAt = this.clock.monotonic();
     const listed = await this.store.list(this.prefix, requestedAt + StoreTiming.callTimeoutMs);
     if (this.isStopped) {
-      return undefined;
+      return false;
     }
     this.callEnded.fire(listed.isErr() ? listed.error : undefined);
     if (listed.isErr()) {
-      return undefined;
+      return false;
     }
+    this.watchesSinceRead = 0;
+    this.revision = listed.value.revision;
     this.itemsReceived.fire({ items: listed.value.items, requestedAt });
-    return listed.value.revision;
+    return true;
   }
 
-  private async watch(revision: number): Promise<number | undefined> {
+  // A refused watch is repeated from the same revision: nothing was missed, and reading everything
+  // may take long. The repetition does not wait for a change, so that the age of the items is known
+  // soon. A watch that was cut may have missed changes.
+  private async watch(revision: number): Promise<boolean> {
     const requestedAt = this.clock.monotonic();
-    const { watchMs } = this.settings;
+    const watchMs = this.hasFailed ? catchUpWatchMs : this.settings.watchMs;
     const deadline = requestedAt + watchMs + StoreTiming.callTimeoutMs;
     const changes = await this.store.watch(this.prefix, revision, watchMs, deadline);
     if (this.isStopped) {
-      return undefined;
+      return false;
     }
-    const isCompacted = changes.isErr() && changes.error.kind === CoordinationErrorKind.compacted;
+    const errorKind = changes.isErr() ? changes.error.kind : undefined;
+    const isCompacted = errorKind === CoordinationErrorKind.compacted;
     this.callEnded.fire(changes.isErr() && !isCompacted ? changes.error : undefined);
     if (changes.isErr()) {
-      return undefined;
+      this.revision = errorKind === CoordinationErrorKind.refused ? revision : undefined;
+      return false;
     }
+    this.watchesSinceRead += this.hasFailed ? 0 : 1;
+    this.revision = changes.value.revision;
     this.itemsReceived.fire({ items: changes.value.items, requestedAt });
-    return changes.value.revision;
+    return true;
   }
 
   public [Symbol.dispose](): void {
