A configuration that is read again unchanged is not decoded again

Each instance reads the configuration anew every ten seconds; with thousands of routes, decoding and checking it takes processor time from requests, on a third of a core. The revision tells that it has not changed.

--- a/packages/instance/src/ConfigurationFollower.ts
+++ b/packages/instance/src/ConfigurationFollower.ts
@@ -33,6 +33,9 @@
 
   private currentBytes = 0;
 
+  /** Store revision of the value that was decoded last; a large one takes long to decode. */
+  private decodedRevision = 0;
+
   /** Monotonic milliseconds; every change acknowledged before this time is known. */
   private confirmedAt = -Infinity;
 
@@ -85,10 +88,11 @@
   }
 
   private apply(items: readonly StoredItem[]): void {
-    items.forEach(({ key, value }) => {
-      if (key !== this.key || value === undefined) {
+    items.forEach(({ key, value, revision }) => {
+      if (key !== this.key || value === undefined || revision === this.decodedRevision) {
         return;
       }
+      this.decodedRevision = revision;
       const decoded = this.decode(value);
       if (decoded.isErr()) {
         this.unreadable.fire(decoded.error.message);
