Retry a state request until its deadline

Callers saw 504 for a state request or a cancellation although most of their time was left: `stateOf` read the progress and the job from the store at most once each, for at most 700 ms, and one failed read decided the answer. Submissions and the write of a cancellation were retried already. A follower without a recent feed depends on these reads for every state request.

`stateOf` now looks at the status cache, then reads the store, and repeats both with the back-off of the other calls until the deadline. A feed that returns meanwhile answers the request, at the deadline at the latest. `cancel` begins with `stateOf` and is mended with it. A state that is not final is still taken from the cache only while the feed is recent: the platform states no allowed age for it. A job counts as absent only if one try has read both records.

--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -141,12 +141,37 @@
     };
   }
 
+  /** Tries both the status cache and the store until one has the state or the deadline passes. */
   public async stateOf(id: string, deadline: number): Promise<StateResult> {
-    const known = this.statusCache.stateOf(id);
-    if (known !== undefined && (isFinal(known) || this.statusCache.isFresh)) {
-      const age = Math.round(this.statusCache.ageMs);
-      return { lookup: Lookup.found, state: known, source: `status cache, ${age} ms old` };
+    let source = 'the deadline passed';
+    for (let call = 0; ; call += 1) {
+      const known = this.cachedStateOf(id);
+      if (known !== undefined) {
+        return known;
+      }
+      if (this.clock.monotonic() >= deadline) {
+        return { lookup: Lookup.unknown, source };
+      }
+      const stored = await this.readState(id, deadline);
+      if (stored.lookup !== Lookup.unknown) {
+        return stored;
+      }
+      source = stored.source;
+      await this.backOff(call, deadline);
     }
+  }
+
+  // A final state is valid at any age.
+  private cachedStateOf(id: string): StateResult | undefined {
+    const state = this.statusCache.stateOf(id);
+    if (state === undefined || (!isFinal(state) && !this.statusCache.isFresh)) {
+      return undefined;
+    }
+    const age = Math.round(this.statusCache.ageMs);
+    return { lookup: Lookup.found, state, source: `status cache, ${age} ms old` };
+  }
+
+  private async readState(id: string, deadline: number): Promise<StateResult> {
     const progress = await this.store.read(StoreKeys.progress(id), this.callDeadline(deadline));
     if (progress.isErr()) {
       return { lookup: Lookup.unknown, source: progress.error.message };
