The feed does not carry the status of queues without work

All queues of a priority share a backlog, so that with each job the status of every route changed and went to every follower up to three times a second: with 4,000 routes about 1 MB a second each, next to the configuration on links of 10 Mbit/s, and 33 times that out of the holder.

A queue that has no job and no known duration is not sent; the largest runner, which its first job is checked against, goes with each update. The fields of a status are unchanged, so instances of both versions understand each other.

--- a/packages/instance/src/FeedUpdateBuffer.test.ts
+++ b/packages/instance/src/FeedUpdateBuffer.test.ts
@@ -1,7 +1,9 @@
 import { JobState } from '@apricothoist/dispatch';
+import { ManualClock } from '@apricothoist/testing';
 import test from 'ava';
 
 import { FeedUpdateBuffer } from './FeedUpdateBuffer.js';
+import { JobStatusCache } from './JobStatusCache.js';
 
 const queueStatus = { pending: 1, backlogMs: 1_020, durationMs: 900.4, largestRunner: 8 };
 const describe = (): Map<string, typeof queueStatus> => new Map([['queue', queueStatus]]);
@@ -59,3 +61,39 @@
   t.is(buffer.takeDue(499, describe), undefined);
   t.deepEqual(buffer.takeDue(500, describe)?.states, []);
 });
+
+// The status of each route went to each follower three times a second, 1 MB a second with 4,000.
+test('the status of queues without work is not sent', (t) => {
+  const buffer = new FeedUpdateBuffer();
+  const routes = Array.from({ length: 4_000 }, (_, index) => `queue-${index}`);
+  const idle = { pending: 0, backlogMs: 0, durationMs: 0, largestRunner: 8 };
+  for (let now = 0; now < 3_000; now += 300) {
+    const backlogMs = 10 * now;
+    const statuses = new Map(routes.map((queue) => [queue, { ...idle, backlogMs }]));
+    statuses.set('queue', { ...queueStatus, backlogMs });
+    buffer.recordStates([[`job-${now}`, JobState.running]]);
+    const update = buffer.takeDue(now, () => statuses);
+    t.deepEqual(
+      update?.queues.map(([queue]) => queue),
+      ['queue'],
+    );
+    t.is(update?.largestRunner, 8);
+  }
+});
+
+test('a queue whose last job has started is sent once more', (t) => {
+  const buffer = new FeedUpdateBuffer();
+  const idle = { pending: 0, backlogMs: 0, durationMs: 0, largestRunner: 8 };
+  buffer.takeDue(0, describe);
+  t.is(buffer.takeDue(500, () => new Map([['queue', idle]]))?.queues[0]?.[1].pending, 0);
+  t.deepEqual(buffer.takeDue(1_000, () => new Map([['queue', idle]]))?.queues, []);
+});
+
+test('a task that fits on no runner is refused in a queue without a status', (t) => {
+  const statusCache = new JobStatusCache(new ManualClock());
+  const update = { isWhole: true, states: [], forgotten: [], queues: [], strongestCores: 0 };
+  t.is(statusCache.queueStatusOf('queue')?.largestRunner, undefined);
+  statusCache.apply({ ...update, largestRunner: 8 });
+  t.is(statusCache.queueStatusOf('queue')?.largestRunner, 8);
+  t.is(statusCache.queueStatusOf('queue')?.pending, 0);
+});
--- a/packages/instance/src/FeedUpdateBuffer.ts
+++ b/packages/instance/src/FeedUpdateBuffer.ts
@@ -23,6 +23,8 @@
 
   private deletedIds: string[] = [];
 
+  private largestRunner = 0;
+
   private readonly sentQueueStatuses = new Map<string, string>();
 
   private sentAt = -Infinity;
@@ -61,6 +63,7 @@
       states: [...this.states],
       forgotten: this.deletedIds,
       queues,
+      largestRunner: this.largestRunner,
     };
     this.states = new Map();
     this.deletedIds = [];
@@ -73,6 +76,10 @@
   ): (readonly [string, QueueStatus])[] {
     const changed: (readonly [string, QueueStatus])[] = [];
     statuses.forEach((exact, queue) => {
+      this.largestRunner = exact.largestRunner;
+      if (isIdle(exact) && !this.sentQueueStatuses.has(queue)) {
+        return;
+      }
       const backlogMs = Math.round(exact.backlogMs / backlogRoundingMs) * backlogRoundingMs;
       const queueStatus = { ...exact, backlogMs, durationMs: Math.round(exact.durationMs) };
       const text = JSON.stringify(queueStatus);
@@ -80,7 +87,18 @@
         this.sentQueueStatuses.set(queue, text);
         changed.push([queue, queueStatus]);
       }
+      if (isIdle(exact)) {
+        this.sentQueueStatuses.delete(queue);
+      }
     });
     return changed;
   }
 }
+
+/**
+ * Whether a queue has no work and never had any. All queues of a priority share a backlog, so each
+ * one would change with every job: with thousands of routes more than a follower can receive.
+ */
+export function isIdle({ pending, durationMs }: QueueStatus): boolean {
+  return pending === 0 && durationMs === 0;
+}
--- a/packages/instance/src/JobStatusCache.ts
+++ b/packages/instance/src/JobStatusCache.ts
@@ -13,7 +13,10 @@
   readonly strongestCores: number;
   /** Ids of jobs whose records were deleted; the feed sends this field as `forgotten`. */
   readonly forgotten: readonly string[];
+  /** Queues with work, or whose status has been sent before. */
   readonly queues: readonly (readonly [queue: string, status: QueueStatus])[];
+  /** Accelerators of the largest runner; absent or 0 if unknown. */
+  readonly largestRunner?: number;
 }
 
 /** Age in milliseconds beyond which the cache counts as stale; several update intervals. */
@@ -25,6 +28,8 @@
 
   private queues = new Map<string, QueueStatus>();
 
+  private largestRunner = 0;
+
   private updatedAt = -Infinity;
 
   /** Cores of the strongest instance as last received; 0 if unknown. */
@@ -50,8 +55,11 @@
     return this.states.get(id);
   }
 
+  /** Status of a queue; that of a queue without work is known from the largest runner alone. */
   public queueStatusOf(queue: string): QueueStatus | undefined {
-    return this.queues.get(queue);
+    const { largestRunner } = this;
+    const idle = { pending: 0, backlogMs: 0, durationMs: 0, largestRunner };
+    return this.queues.get(queue) ?? (largestRunner === 0 ? undefined : idle);
   }
 
   public snapshot(): FeedUpdate {
@@ -61,6 +69,7 @@
       forgotten: [],
       queues: [...this.queues],
       strongestCores: this.strongestCores,
+      largestRunner: this.largestRunner,
     };
   }
 
@@ -73,6 +82,7 @@
     update.forgotten.forEach((id) => this.states.delete(id));
     update.queues.forEach(([queue, queueStatus]) => this.queues.set(queue, queueStatus));
     this.strongestCores = update.strongestCores;
+    this.largestRunner = update.largestRunner ?? this.largestRunner;
     this.updatedAt = this.clock.monotonic();
   }
 }
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -14,7 +14,7 @@
 import type { Result } from 'neverthrow';
 
 import type { JobUpdate } from './FeedUpdateBuffer.js';
-import { FeedUpdateBuffer } from './FeedUpdateBuffer.js';
+import { FeedUpdateBuffer, isIdle } from './FeedUpdateBuffer.js';
 import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
 import { LearnedStateStore } from './LearnedStateStore.js';
@@ -333,11 +333,13 @@
 
   private publishSnapshot(): void {
     const { dispatcher, services } = this;
+    const queues = [...dispatcher.describeQueues()];
     services.publish({
       isWhole: true,
       states: [...dispatcher.state.jobs.values()].map((job) => [job.id, job.state]),
       forgotten: [],
-      queues: [...dispatcher.describeQueues()],
+      queues: queues.filter(([, status]) => !isIdle(status)),
+      largestRunner: queues[0]?.[1].largestRunner ?? 0,
     });
   }
 
