Keep a mesh link open when a message exceeds the frame limit

A frame of more than 2 MB closes the link at its receiver. A configuration, a plan or a forwarded body above that size therefore failed every request in flight on the link, and the digest of the next second asked for the same configuration or plan again. Callers of forwarded requests saw 502 with an unknown outcome for requests that had nothing to do with the large one.

A sender now checks the size: a request that is too large is not sent, which its caller may handle like a closed link, and a response that is too large is logged and answered without a body, so that the requester does not wait until its deadline. The limit itself stays, as it protects the receiver.

The test sends a request and asks for a response beyond the limit while another request is open on the same link. Before the change the open request ended without an answer.

--- a/packages/mesh/src/MeshServer.ts
+++ b/packages/mesh/src/MeshServer.ts
@@ -100,7 +100,13 @@
       throw new RangeError(`no handler for topic "${topic}"`);
     }
     const response = await handler(body);
-    const frame = encodeMessage({ kind: MessageKind.response, requestId, body: response });
+    let frame = encodeMessage({ kind: MessageKind.response, requestId, body: response });
+    if (frame.length > maxFrameBytes) {
+      const size = `${frame.length} of ${maxFrameBytes} bytes`;
+      this.handlers.onRejected(`the response to "${topic}" exceeds the frame limit: ${size}`);
+      // Without a body, so that the requester does not wait until its deadline.
+      frame = encodeMessage({ kind: MessageKind.response, requestId, body: undefined });
+    }
     this.bytesSent += frame.length;
     link.send(frame);
   }
--- a/packages/mesh/src/PeerLink.ts
+++ b/packages/mesh/src/PeerLink.ts
@@ -7,7 +7,7 @@
 import type { Message } from './Message.js';
 import { decodeMessage, encodeMessage, meshPath, MessageKind } from './Message.js';
 
-/** Maximum frame size in bytes; larger frames close the link. */
+/** Maximum frame size in bytes; a larger frame would close the link, so it is not sent. */
 export const maxFrameBytes = 2_000_000;
 /** WebSocket close code for frames that are not valid messages. */
 export const malformedCloseCode = 4_400;
@@ -78,6 +78,9 @@
       return false;
     }
     const frame = encodeMessage(message);
+    if (frame.length > maxFrameBytes) {
+      return false;
+    }
     this.bytesSent += frame.length;
     socket.send(frame);
     return true;
@@ -96,7 +99,7 @@
       const timer = setTimeout(() => this.settle(requestId, unanswered()), timeoutMs);
       this.pending.set(requestId, { settle: resolve, timer });
       if (!this.send({ kind: MessageKind.request, requestId, topic, body })) {
-        const message = `no open link to ${this.target.address}`;
+        const message = `no open link to ${this.target.address}, or too large for a frame`;
         this.settle(requestId, err(new MeshError(MeshErrorKind.notSent, message)));
       }
     });
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -8,6 +8,7 @@
 import { WebSocket } from 'ws';
 
 import { instanceChart, Membership, MemberState, suspectTimeoutMs } from './Membership.js';
+import { MeshErrorKind } from './MeshError.js';
 import { MeshNode } from './MeshNode.js';
 import type { Digest } from './Message.js';
 import { decodeMessage, encodeMessage, meshPath, MessageKind } from './Message.js';
@@ -158,6 +159,35 @@
   t.true(perSecond > 0 && perSecond < 2_048);
 });
 
+// Guards against a large message that fails all other requests on its link, again and again.
+test('a message larger than a frame does not end the other requests of its link', async (t) => {
+  await using one = await startNode('one');
+  await using two = await startNode('two');
+  const rejected: string[] = [];
+  two.node.onRejected((reason) => rejected.push(reason));
+  two.node.registerHandler('large', async () => Buffer.alloc(maxFrameBytes));
+  two.node.registerHandler('slow', async () => {
+    await delay(300);
+    return 'answered';
+  });
+  one.node.updateListed([{ instanceId: 'two', dataCentre: 'a', address: two.address }]);
+  const request = (topic: string, body: unknown) =>
+    one.node.request('two', topic, body, clock.monotonic() + 2_000);
+  while ((await request('slow', {})).isErr()) {
+    await delay(10);
+  }
+  const slow = request('slow', {});
+  const startedAt = clock.monotonic();
+  const tooLarge = await request('slow', Buffer.alloc(maxFrameBytes));
+  const unanswered = await request('large', {});
+  const waitedMs = clock.monotonic() - startedAt;
+  t.is((await slow).unwrapOr(undefined), 'answered');
+  t.is(tooLarge._unsafeUnwrapErr().kind, MeshErrorKind.notSent);
+  t.is(unanswered.unwrapOr(undefined), undefined);
+  t.true(waitedMs < 1_000, 'the requester need not wait until its deadline');
+  t.regex(rejected.join(), /response to "large" exceeds the frame limit/);
+});
+
 test('a link with a wrong credential is rejected', async (t) => {
   await using one = await startNode('one');
   await using two = await startNode('two', new Secret('another'));
