Accept digests with any number of services, endpoints and peers

A digest with more than 200 services, 5,000 endpoints or 500 peers was malformed to its receiver, which closed the link. The configuration has no such limits: a deployment that grows past one of them would lose its mesh at once, with every instance suspect to all others, nothing forwarded between data centres and the fence of task leases standing still.

The lists are now bounded by the size of a frame only, which the receiver checks before it decodes. The test sends 6,000 of each, within a frame; before the change the receiver rejected it.

--- a/packages/mesh/src/Message.ts
+++ b/packages/mesh/src/Message.ts
@@ -14,7 +14,7 @@
 const endpointLoadSchema = z.strictObject({ endpointId: id, inFlight: count });
 const peerAddressSchema = z.strictObject({ instanceId: id, dataCentre: id, address: id });
 
-/** State that an instance periodically sends to its peers. */
+/** State that an instance periodically sends to its peers; only the frame limit bounds its lists. */
 export const digestSchema = z.strictObject({
   instanceId: id,
   dataCentre: id,
@@ -28,12 +28,12 @@
   planRevision: count,
   /** Wall time in milliseconds at which the store last confirmed that plan. */
   planConfirmedAt: z.number(),
-  services: z.array(serviceLoadSchema).max(200),
-  endpoints: z.array(endpointLoadSchema).max(5_000),
+  services: z.array(serviceLoadSchema),
+  endpoints: z.array(endpointLoadSchema),
   /** Identifiers of endpoints known to be leaving. */
-  leavingEndpoints: z.array(id).max(5_000),
+  leavingEndpoints: z.array(id),
   /** Instances known to be alive; sent on a new link and periodically, otherwise empty. */
-  peers: z.array(peerAddressSchema).max(500),
+  peers: z.array(peerAddressSchema),
 });
 export type Digest = z.output<typeof digestSchema>;
 export type PeerAddress = z.output<typeof peerAddressSchema>;
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -87,6 +87,21 @@
   t.true(decodeMessage(wrong).isErr());
 });
 
+// Guards against peers that reject every digest once a deployment has outgrown a fixed list length.
+test('a digest is accepted whatever the number of services, endpoints and peers', (t) => {
+  const many = <T>(create: (index: number) => T): T[] =>
+    Array.from({ length: 6_000 }, (_, index) => create(index));
+  const digest = createDigest('one', {
+    services: many((index) => ({ service: `service-${index}`, spareSlots: index })),
+    endpoints: many((index) => ({ endpointId: `endpoint-${index}`, inFlight: 1 })),
+    leavingEndpoints: many((index) => `endpoint-${index}`),
+    peers: many((index) => ({ instanceId: `i${index}`, dataCentre: 'a', address: `i${index}:1` })),
+  });
+  const frame = encodeMessage({ kind: MessageKind.digest, digest });
+  t.true(frame.length < maxFrameBytes);
+  t.deepEqual(decodeMessage(frame)._unsafeUnwrap(), { kind: MessageKind.digest, digest });
+});
+
 test('an instance changes from listed to alive to suspect and back to alive', (t) => {
   const members = new Membership('self', 'a');
   members.updateListed([{ instanceId: 'one', dataCentre: 'a', address: 'one:1' }], 0);
