Keep the connections of addresses in use in the pool

The pool keeps the agents of 1,000 addresses and evicted the one that was added first. The store is called first, so the agent of the store was dropped and made anew each time that 1,000 further addresses had been called: runners that start again have a new address, so the number of addresses ever seen grows all the time. Calls to the store then opened new connections, and the former ones stayed open unused.

The least recently used address is evicted now. The test fails before the change at the 1,000th further address.

--- a/packages/platform/src/AgentPool.ts
+++ b/packages/platform/src/AgentPool.ts
@@ -1,6 +1,6 @@
 import { Agent } from 'node:http';
 
-/** Maximum number of addresses in the pool; the one added first is evicted first. */
+/** Maximum number of addresses in the pool; the least recently used one is evicted first. */
 const maxAddresses = 1_000;
 
 /** HTTP agents by address. The number is limited, so that replaced instances do not accumulate. */
@@ -16,10 +16,9 @@
 
   public agentFor(address: string): Agent {
     const known = this.agents.get(address);
-    if (known !== undefined) {
-      return known;
-    }
-    const agent = new Agent({ keepAlive: true, maxSockets: this.maxSockets });
+    const agent = known ?? new Agent({ keepAlive: true, maxSockets: this.maxSockets });
+    // A map keeps the order of insertion, so the least recently used address comes first.
+    this.agents.delete(address);
     this.agents.set(address, agent);
     const [oldest] = this.agents.keys();
     if (this.agents.size > maxAddresses && oldest !== undefined) {
