Read an audit trail that is longer than the call budget

An operator got 503 *no store calls left in this second* for `GET /v1/audit` as soon as the trail had more records than the budget has calls: records are read one by one, 50 by default, while an instance may make 30 calls a second. The same read decides whether a change was accepted, so a conflict was then reported without the changes that won. The read also took the calls that are reserved for scheduling.

Reads of the trail now wait for the budget and leave the reserve alone. A trail of more than some 900 records still exceeds the 30 s of the command line; its `most` parameter bounds it.

--- a/packages/daemon/src/ConfigurationStore.ts
+++ b/packages/daemon/src/ConfigurationStore.ts
@@ -1,4 +1,4 @@
-import { createIdentifier, digestOf, LayerError } from '@apricothoist/common';
+import { createIdentifier, delay, digestOf, LayerError } from '@apricothoist/common';
 import type { ConfigurationChange } from '@apricothoist/config';
 import { diffConfiguration, parseConfiguration, printConfiguration } from '@apricothoist/config';
 import type { Store, StoreError } from '@apricothoist/platform';
@@ -57,6 +57,9 @@
 const emptyHead: ConfigurationHead = { revision: 0, recordKey: '' };
 /** Maximum number of records read to determine whether a change was accepted. */
 const maxResolveRecords = 50;
+/** Milliseconds between tries, and number of tries, of an audit read while the budget is used up. */
+const auditRetryMs = 100;
+const maxAuditTries = 20;
 
 type Outcome<T> = Result<T, PublishError>;
 
@@ -66,7 +69,11 @@
  * compare-and-swap updates both the configuration and the audit trail.
  */
 export class ConfigurationStore {
-  public constructor(private readonly store: Store) {}
+  /** @param auditStore view of the store for reads of the audit trail, of any number */
+  public constructor(
+    private readonly store: Store,
+    private readonly auditStore: Store = store,
+  ) {}
 
   public async readHead(): Promise<Result<ConfigurationHead, StoreError>> {
     const head = await this.store.read<ConfigurationHead>(configurationHeadKey);
@@ -92,8 +99,7 @@
     const records: ConfigurationRecord[] = [];
     let key: string | undefined = head.value.recordKey || undefined;
     while (key !== undefined && records.length < maxRecords) {
-      const record: Result<ConfigurationRecord | undefined, StoreError> =
-        await this.readRecord(key);
+      const record = await this.readAuditRecord(key);
       if (record.isErr()) {
         return err(record.error);
       }
@@ -106,6 +112,20 @@
     return ok(records);
   }
 
+  // A trail may have more records than the budget of a second has calls.
+  private async readAuditRecord(
+    key: string,
+  ): Promise<Result<ConfigurationRecord | undefined, StoreError>> {
+    for (let attempt = 1; ; attempt += 1) {
+      const record = await this.auditStore.read<ConfigurationRecord>(key);
+      const isOverBudget = record.isErr() && record.error.kind === StoreErrorKind.overBudget;
+      if (!isOverBudget || attempt === maxAuditTries) {
+        return record.map((found) => found?.data);
+      }
+      await delay(auditRetryMs);
+    }
+  }
+
   /** Publishes a change. Idempotent: repeating it with the same change identifier has no effect. */
   public async publish(proposal: ConfigurationProposal): Promise<Outcome<ConfigurationRecord>> {
     const parsed = parseConfiguration(proposal.text, 'configuration');
--- a/packages/daemon/src/EntryCore.ts
+++ b/packages/daemon/src/EntryCore.ts
@@ -89,7 +89,7 @@
       reservedPerSecond: settings.storeCallsPerSecond / 2,
       callTimeoutMs: settings.storeTimeoutMs,
     });
-    this.configurationStore = new ConfigurationStore(this.store);
+    this.configurationStore = new ConfigurationStore(this.store, this.store.forRequests);
     this.configurations = this.disposables.register(
       new ConfigurationCache(this.configurationStore),
     );
