Offer a forwarded request to another peer if the first got none of it

A request that its data centre cannot serve is forwarded to one peer elsewhere. If the link to this peer was closed, for example during the back-off of up to 5 s after a broken connection, the caller got 503 although other peers had spare slots: a peer counts as alive by the digests on its own link.

A request that was certainly not sent now goes to another peer, three at most. One that a peer may have run stays with it, as before.

--- a/packages/daemon/src/MeshForwarder.ts
+++ b/packages/daemon/src/MeshForwarder.ts
@@ -10,6 +10,8 @@
 import type { ServiceRouters } from './ServiceRouters.js';
 
 export const forwardTopic = 'forward';
+/** Maximum number of peers to which one request is offered. */
+const maxPeersTried = 3;
 
 const headersSchema = z.record(
   z.string(),
@@ -78,7 +80,7 @@
     if (peers.length === 0) {
       return undefined;
     }
-    return this.send(this.choosePeer(peers, descriptor.service), descriptor, content);
+    return this.sendToAny(peers, descriptor, content);
   }
 
   /** Registers the handler for requests forwarded by peers. */
@@ -93,6 +95,24 @@
     });
   }
 
+  // Only a request that was certainly not sent may go to another peer.
+  private async sendToAny(
+    peers: readonly Member[],
+    descriptor: RequestDescriptor,
+    content: RequestContent,
+  ): Promise<Result> {
+    let candidates = peers;
+    for (let tried = 0; tried < maxPeersTried && candidates.length > 0; tried += 1) {
+      const peer = this.choosePeer(candidates, descriptor.service);
+      const result = await this.send(peer, descriptor, content);
+      if (result !== notSent) {
+        return result;
+      }
+      candidates = candidates.filter((candidate) => candidate !== peer);
+    }
+    return notSent;
+  }
+
   // Power of two choices: of two random peers, takes the one with more spare slots.
   private choosePeer(peers: readonly Member[], service: string): Member {
     const left = this.random.pick(peers);
