Show that the feed grows with routes times followers

Each queue status in the feed repeats the backlog of its priority and the largest runner, so a backlog that moves changes the status of every queue, and all of them are sent up to three times a second to every follower. Followers with a link of 10 Mbit/s read the configuration over the same link.

--- a/packages/instance/src/FeedUpdateBuffer.test.ts
+++ b/packages/instance/src/FeedUpdateBuffer.test.ts
@@ -1,11 +1,32 @@
 import { JobState } from '@apricothoist/dispatch';
 import test from 'ava';
+import { pack } from 'msgpackr';
 
 import { FeedUpdateBuffer } from './FeedUpdateBuffer.js';
 
 const queueStatus = { pending: 1, backlogMs: 1_020, durationMs: 900.4, largestRunner: 8 };
 const describe = (): Map<string, typeof queueStatus> => new Map([['queue', queueStatus]]);
 
+/** Bytes sent to each follower in ten seconds of a backlog that grows by 90 ms in 100 ms. */
+function countBytes(queues: number): number {
+  const buffer = new FeedUpdateBuffer();
+  const describeAll = (backlogMs: number) =>
+    new Map(
+      Array.from({ length: queues }, (_, index) => [
+        `queue-${index}`,
+        { ...queueStatus, pending: 0, backlogMs },
+      ]),
+    );
+  buffer.takeDue(0, () => describeAll(0));
+  let bytes = 0;
+  for (let now = 100; now <= 10_000; now += 100) {
+    buffer.recordStates([['job', JobState.running]]);
+    const update = buffer.takeDue(now, () => describeAll(now * 0.9));
+    bytes += update === undefined ? 0 : pack({ ...update, strongestCores: 8 }).length;
+  }
+  return bytes;
+}
+
 /** Counts the frames of one second in which a job changes every five milliseconds. */
 function countFrames(buffer: FeedUpdateBuffer): number {
   let frames = 0;
@@ -53,6 +74,14 @@
   );
 });
 
+// Guards against a feed that takes the link of the holder and of its followers as routes are added.
+test('a change of the backlog is not sent again for each queue', (t) => {
+  const few = countBytes(40);
+  const many = countBytes(4_000);
+  t.log(`40 queues: ${few} bytes, 4,000 queues: ${many} bytes`);
+  t.true(many < 2 * few);
+});
+
 test('without changes an update is still sent twice a second as a heartbeat', (t) => {
   const buffer = new FeedUpdateBuffer();
   buffer.takeDue(0, describe);
