The feed carries the backlog of a priority once, not with each queue

Updates have the backlogs by priority beside the statuses, which are sent when their counts or durations change. A follower of an earlier version keeps the backlog that came with the last status.

--- a/packages/dispatch/src/Admission.ts
+++ b/packages/dispatch/src/Admission.ts
@@ -7,6 +7,8 @@
 
 /** Status of a queue, from which admission estimates the wait of a new job. */
 export interface QueueStatus {
+  /** Priority of the queue; absent in updates of earlier versions. */
+  readonly priority?: number;
   /** Accepted jobs without a started task. */
   readonly pending: number;
   /** Milliseconds that all accelerators together need for the work scheduled ahead of a new job. */
@@ -106,6 +108,7 @@
       return [
         queue.name,
         {
+          priority: queue.priority,
           pending: pending.get(queue.name) ?? 0,
           backlogMs: accelerators === 0 ? 0 : workAhead / (accelerators * loadedUtilization),
           durationMs: estimates.typicalMs(queue.name),
--- a/packages/instance/src/FeedUpdateBuffer.test.ts
+++ b/packages/instance/src/FeedUpdateBuffer.test.ts
@@ -97,15 +97,16 @@
   const routes = Array.from({ length: 4_000 }, (_, index) => `queue-${index}`);
   const idle = { pending: 0, backlogMs: 0, durationMs: 0, largestRunner: 8 };
   for (let now = 0; now < 3_000; now += 300) {
-    const backlogMs = 10 * now;
+    const backlogMs = now;
     const statuses = new Map(routes.map((queue) => [queue, { ...idle, backlogMs }]));
     statuses.set('queue', { ...queueStatus, backlogMs });
     buffer.recordStates([[`job-${now}`, JobState.running]]);
     const update = buffer.takeDue(now, () => statuses);
     t.deepEqual(
       update?.queues.map(([queue]) => queue),
-      ['queue'],
+      now === 0 ? ['queue'] : [],
     );
+    t.deepEqual(update?.backlogs, [[0, backlogMs]]);
     t.is(update?.largestRunner, 8);
   }
 });
@@ -126,3 +127,20 @@
   t.is(statusCache.queueStatusOf('queue')?.largestRunner, 8);
   t.is(statusCache.queueStatusOf('queue')?.pending, 0);
 });
+
+test('the backlog of a priority holds for all of its queues', (t) => {
+  const statusCache = new JobStatusCache(new ManualClock());
+  const update = { isWhole: true, states: [], forgotten: [], strongestCores: 0 };
+  const statusOf = (priority: number) => ({ ...queueStatus, priority });
+  statusCache.apply({
+    ...update,
+    queues: [
+      ['first', statusOf(0)],
+      ['second', statusOf(1)],
+    ],
+  });
+  statusCache.apply({ ...update, isWhole: false, queues: [], backlogs: [[1, 9_000]] });
+  t.is(statusCache.queueStatusOf('first')?.backlogMs, queueStatus.backlogMs);
+  t.is(statusCache.queueStatusOf('second')?.backlogMs, 9_000);
+  t.deepEqual(statusCache.snapshot().backlogs, [[1, 9_000]]);
+});
--- a/packages/instance/src/FeedUpdateBuffer.ts
+++ b/packages/instance/src/FeedUpdateBuffer.ts
@@ -25,6 +25,10 @@
 
   private largestRunner = 0;
 
+  private readonly backlogs = new Map<number, number>();
+
+  private queueStatuses: (readonly [string, QueueStatus])[] = [];
+
   private readonly sentQueueStatuses = new Map<string, string>();
 
   private sentAt = -Infinity;
@@ -53,51 +57,49 @@
     if (now - this.sentAt < (hasChanges ? sendIntervalMs : heartbeatIntervalMs)) {
       return undefined;
     }
-    const queues =
-      now - this.queueStatusAt < queueStatusIntervalMs ? [] : this.changedQueueStatuses(describe());
     if (now - this.queueStatusAt >= queueStatusIntervalMs) {
       this.queueStatusAt = now;
+      this.recordStatuses(describe());
     }
     const update = {
       isWhole: false,
       states: [...this.states],
       forgotten: this.deletedIds,
-      queues,
+      queues: this.queueStatuses,
+      backlogs: [...this.backlogs],
       largestRunner: this.largestRunner,
     };
     this.states = new Map();
     this.deletedIds = [];
+    this.queueStatuses = [];
     this.sentAt = now;
     return update;
   }
 
-  private changedQueueStatuses(
-    statuses: ReadonlyMap<string, QueueStatus>,
-  ): (readonly [string, QueueStatus])[] {
-    const changed: (readonly [string, QueueStatus])[] = [];
+  // A backlog changes with every job, for all queues of a priority: it is sent once for all of them.
+  private recordStatuses(statuses: ReadonlyMap<string, QueueStatus>): void {
     statuses.forEach((exact, queue) => {
       this.largestRunner = exact.largestRunner;
+      const backlogMs = Math.round(exact.backlogMs / backlogRoundingMs) * backlogRoundingMs;
+      this.backlogs.set(exact.priority ?? 0, backlogMs);
       if (isIdle(exact) && !this.sentQueueStatuses.has(queue)) {
         return;
       }
-      const backlogMs = Math.round(exact.backlogMs / backlogRoundingMs) * backlogRoundingMs;
       const queueStatus = { ...exact, backlogMs, durationMs: Math.round(exact.durationMs) };
-      const text = JSON.stringify(queueStatus);
+      const text = JSON.stringify({ ...queueStatus, backlogMs: 0, largestRunner: 0 });
       if (this.sentQueueStatuses.get(queue) !== text) {
         this.sentQueueStatuses.set(queue, text);
-        changed.push([queue, queueStatus]);
+        this.queueStatuses.push([queue, queueStatus]);
       }
       if (isIdle(exact)) {
         this.sentQueueStatuses.delete(queue);
       }
     });
-    return changed;
   }
 }
 
 /**
- * Whether a queue has no work and never had any. All queues of a priority share a backlog, so each
- * one would change with every job: with thousands of routes more than a follower can receive.
+ * Whether a queue has no work and never had any.
  */
 export function isIdle({ pending, durationMs }: QueueStatus): boolean {
   return pending === 0 && durationMs === 0;
--- a/packages/instance/src/JobStatusCache.ts
+++ b/packages/instance/src/JobStatusCache.ts
@@ -15,6 +15,8 @@
   readonly forgotten: readonly string[];
   /** Queues with work, or whose status has been sent before. */
   readonly queues: readonly (readonly [queue: string, status: QueueStatus])[];
+  /** Backlogs in milliseconds by priority; newer than those of the queues. */
+  readonly backlogs?: readonly (readonly [priority: number, backlogMs: number])[];
   /** Accelerators of the largest runner; absent or 0 if unknown. */
   readonly largestRunner?: number;
 }
@@ -28,6 +30,8 @@
 
   private queues = new Map<string, QueueStatus>();
 
+  private backlogs = new Map<number, number>();
+
   private largestRunner = 0;
 
   private updatedAt = -Infinity;
@@ -57,9 +61,14 @@
 
   /** Status of a queue; that of a queue without work is known from the largest runner alone. */
   public queueStatusOf(queue: string): QueueStatus | undefined {
+    const known = this.queues.get(queue);
     const { largestRunner } = this;
-    const idle = { pending: 0, backlogMs: 0, durationMs: 0, largestRunner };
-    return this.queues.get(queue) ?? (largestRunner === 0 ? undefined : idle);
+    if (known === undefined) {
+      const idle = { pending: 0, backlogMs: 0, durationMs: 0, largestRunner };
+      return largestRunner === 0 ? undefined : idle;
+    }
+    const backlogMs = this.backlogs.get(known.priority ?? 0) ?? known.backlogMs;
+    return { ...known, backlogMs, largestRunner: largestRunner || known.largestRunner };
   }
 
   public snapshot(): FeedUpdate {
@@ -69,6 +78,7 @@
       forgotten: [],
       queues: [...this.queues],
       strongestCores: this.strongestCores,
+      backlogs: [...this.backlogs],
       largestRunner: this.largestRunner,
     };
   }
@@ -77,10 +87,12 @@
     if (update.isWhole) {
       this.states = new Map();
       this.queues = new Map();
+      this.backlogs = new Map();
     }
     update.states.forEach(([id, state]) => this.states.set(id, state));
     update.forgotten.forEach((id) => this.states.delete(id));
     update.queues.forEach(([queue, queueStatus]) => this.queues.set(queue, queueStatus));
+    update.backlogs?.forEach(([priority, backlogMs]) => this.backlogs.set(priority, backlogMs));
     this.strongestCores = update.strongestCores;
     this.largestRunner = update.largestRunner ?? this.largestRunner;
     this.updatedAt = this.clock.monotonic();
