Failing test: a successor behind a slow link never loads many stored jobs

Scheduling.loadStoredState reads three whole lists under one limit of 2 s and starts again if any of them is late, so that with enough stored jobs and a slow link it never ends.

--- /dev/null
+++ b/packages/instance/src/takeoverLoad.test.ts
@@ -0,0 +1,189 @@
+import type { Clock } from '@apricothoist/common';
+import { delay, Random } from '@apricothoist/common';
+import type { Queue } from '@apricothoist/dispatch';
+import { JobState, RunCounters } from '@apricothoist/dispatch';
+import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
+import {
+  createSpecification,
+  plainStep,
+  replayBounds,
+  replayQueues,
+  VirtualCoordinationStore,
+  VirtualLink,
+} from '@apricothoist/testing';
+import { install } from '@sinonjs/fake-timers';
+import test from 'ava';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+
+import type { CoordinationStore, StoredItem, StoredItems } from './CoordinationStore.js';
+import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
+import { JobEvents } from './events.js';
+import { StoreKeys } from './keys.js';
+import type { RunnerClient } from './RunnerClient.js';
+import { Scheduling } from './Scheduling.js';
+
+const queue = replayQueues.urgent as Queue;
+const bytesPerMegabit = 125_000;
+/** Growth of a value on the wire, where it is base64-encoded. */
+const base64Growth = 4 / 3;
+/** Bytes of the other fields of an item on the wire. */
+const itemFieldBytes = 60;
+const payloadBytes = 1_000;
+/** Milliseconds within which a successor must have loaded the stored jobs. */
+const takeoverBoundMs = 15_000;
+const token = 7;
+
+interface LoggedEvent {
+  readonly code: number;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+type ListedItems = Result<StoredItems, CoordinationError>;
+
+function unanswered(): Result<never, CoordinationError> {
+  return err(new CoordinationError(CoordinationErrorKind.unanswered, 'no response'));
+}
+
+function jobIdOf(number: number): string {
+  return `b${String(number).padStart(15, '0')}`;
+}
+
+function countWireBytes(items: readonly StoredItem[]): number {
+  return items.reduce(
+    (sum, { key, value = '' }) => sum + key.length + value.length * base64Growth + itemFieldBytes,
+    0,
+  );
+}
+
+interface TakeoverOptions {
+  readonly jobs: number;
+  readonly linkMegabits: number;
+}
+
+/** A successor that takes over many stored jobs behind a link of its own, in virtual time. */
+class VirtualTakeover implements Disposable {
+  private readonly timers = install({
+    now: 1_000_000,
+    toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval'],
+  });
+
+  public readonly store = new VirtualCoordinationStore();
+
+  public readonly link: VirtualLink;
+
+  public readonly events: LoggedEvent[] = [];
+
+  public readonly scheduling: Scheduling;
+
+  public constructor({ jobs, linkMegabits }: TakeoverOptions) {
+    this.link = new VirtualLink((linkMegabits * bytesPerMegabit) / 1_000, () => this.timers.now);
+    const progress = { state: JobState.completed, hasStarted: true, occurrences: 0, done: [] };
+    for (let number = 1; number <= jobs; number += 1) {
+      this.putJob(jobIdOf(number));
+      const key = StoreKeys.progress(jobIdOf(number));
+      this.store.put(key, JSON.stringify({ ...progress, units: [] }));
+    }
+    this.scheduling = this.createScheduling();
+  }
+
+  public get now(): number {
+    return this.timers.now;
+  }
+
+  public get isLoaded(): boolean {
+    return this.events.some(({ code }) => code === JobEvents.storedStateLoaded.code);
+  }
+
+  public putJob(id: string): void {
+    const specification = {
+      ...createSpecification(id, [plainStep]),
+      payload: 'x'.repeat(payloadBytes),
+      acceptedAt: this.now,
+    };
+    this.store.put(StoreKeys.job(id), JSON.stringify({ specification, queue }));
+  }
+
+  private createScheduling(): Scheduling {
+    const clock: Clock = { monotonic: () => this.now, wall: () => this.now };
+    const log = new EventLog('test', LogLevel.error, LogFormat.text, clock);
+    log.emit = ({ code }, fields = {}) => this.events.push({ code, fields });
+    return new Scheduling(
+      {
+        store: this.createStore(),
+        registry: { list: async () => ok([]) },
+        runners: {} as RunnerClient,
+        clock,
+        steadyClock: clock,
+        random: new Random(1),
+        log,
+        bounds: replayBounds,
+        counters: new RunCounters(),
+        token: () => token,
+        resign: () => {},
+        publish: () => {},
+      },
+      token,
+      undefined,
+    );
+  }
+
+  private createStore(): CoordinationStore {
+    const { store } = this;
+    return {
+      maxTransactionEntries: store.maxTransactionEntries,
+      read: (key) => store.read(key),
+      list: async (prefix, deadline) => this.carry(await store.list(prefix), deadline),
+      watch: (prefix, after, waitMs) => store.watch(prefix, after, waitMs),
+      commit: (transaction) => store.commit(transaction),
+      grantLease: () => store.grantLease(),
+      renewLease: (lease) => store.renewLease(lease),
+      endLease: (lease) => store.endLease(lease),
+    };
+  }
+
+  private async carry(listed: ListedItems, deadline: number): Promise<ListedItems> {
+    const bytes = listed.isOk() ? countWireBytes(listed.value.items) : 0;
+    return (await this.link.carry(bytes, deadline)) ? listed : unanswered();
+  }
+
+  /** Advances virtual time until the stored jobs are loaded; returns the time taken. */
+  public async load(limitMs: number): Promise<number> {
+    const startedAt = this.now;
+    this.scheduling.start();
+    while (!this.isLoaded && this.now < startedAt + limitMs) {
+      await this.run(10);
+    }
+    return this.now - startedAt;
+  }
+
+  /** Advances virtual time. */
+  public async run(milliseconds: number): Promise<void> {
+    let hasElapsed = false;
+    delay(milliseconds).then(
+      () => {
+        hasElapsed = true;
+      },
+      () => {},
+    );
+    while (!hasElapsed) {
+      this.timers.next();
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  }
+
+  public [Symbol.dispose](): void {
+    this.scheduling[Symbol.dispose]();
+    this.timers.uninstall();
+  }
+}
+
+// Whole lists that are late were read again for ever, so that no run was started any more.
+test.serial('a successor behind a slow link loads many stored jobs', async (t) => {
+  using takeover = new VirtualTakeover({ jobs: 2_000, linkMegabits: 10 });
+  await takeover.load(takeoverBoundMs);
+  t.true(takeover.isLoaded, `${Math.round(takeover.link.carriedBytes / 1_000)} KB carried`);
+  t.is(takeover.scheduling.dispatcher.state.jobs.size, 2_000);
+});
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -23,6 +23,7 @@
 export { canPlaceTogether } from './gangOracle.js';
 export type { OracleGang } from './gangOracle.js';
 export { RelayMode, TcpRelay } from './TcpRelay.js';
+export { VirtualLink } from './VirtualLink.js';
 export { generateLoad, largeDeploymentLoad, smallDeploymentLoad } from './generateLoad.js';
 export type { LoadBurst, JobClass } from './generateLoad.js';
 export {
