Read the stored state at a takeover page by page and keep what was read

The load made three whole lists under one limit of 2 s and threw all of them away if one was late, so that its cost grew with the jobs and its limit did not.

StoredStateReader reads jobs and then progress page by page (CoordinationStore.listPage, about 500 items or 1 MB), the runners and the learned state each on their own. A failed call repeats its own page only. Jobs are watched from the revision of the first page, as before; progress is written only with the holder key expected, so its pages may be read at any time in the term. A page that is late gets twice the time, 2 s to 16 s, so that a link of 1 Mbit/s carries it too.

Four further tests: pages are not read twice, a late page gets more time, a job accepted between two pages is not missed, a successor without its term stops reading. No existing test is changed but for the new method in two stand-in stores.

--- a/packages/instance/src/CoordinationStore.ts
+++ b/packages/instance/src/CoordinationStore.ts
@@ -36,6 +36,11 @@
   readonly revision: number;
 }
 
+/** One page of the items below a prefix; pages are read at different revisions. */
+export interface StoredPage extends StoredItems {
+  readonly hasMore: boolean;
+}
+
 /** Atomic change that is committed only if every expected revision matches. */
 export interface Transaction {
   readonly expect: readonly { readonly key: string; readonly revision: number }[];
@@ -60,6 +65,11 @@
   read(key: string, deadline: number): StoreResult<StoredItem | undefined>;
   /** Returns all items below a prefix. */
   list(prefix: string, deadline: number): StoreResult<StoredItems>;
+  /**
+   * Returns the items below a prefix that follow the key `after`, as many as the store sends at
+   * once; the first ones if it is undefined.
+   */
+  listPage(prefix: string, after: string | undefined, deadline: number): StoreResult<StoredPage>;
   /** Waits up to `waitMs` for changes below `prefix` after a revision. */
   watch(prefix: string, after: number, waitMs: number, deadline: number): StoreResult<StoredItems>;
   commit(transaction: Transaction, deadline: number): StoreResult<CommitResult>;
--- a/packages/instance/src/LearnedStateStore.ts
+++ b/packages/instance/src/LearnedStateStore.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@apricothoist/common';
 import type { Dispatcher, LearnedState } from '@apricothoist/dispatch';
+import type { Result } from 'neverthrow';
 
-import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
+import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
 import { parseRecord } from './StoredJob.js';
 import { StoreTiming } from './StoreTiming.js';
@@ -28,9 +29,8 @@
     this.writtenAt = clock.monotonic();
   }
 
-  /** Restores the learned state of the previous holder, if it can be read. */
-  public async restore(deadline: number): Promise<void> {
-    const found = await this.store.read(StoreKeys.learnedState, deadline);
+  /** Restores the learned state of the previous holder, if it was read. */
+  public restore(found: Result<StoredItem | undefined, CoordinationError>): void {
     if (found.isErr()) {
       this.onFailure(found.error);
       return;
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -20,6 +20,7 @@
 import { LearnedStateStore } from './LearnedStateStore.js';
 import { StoredJobLoader } from './StoredJobLoader.js';
 import { StoreKeys } from './keys.js';
+import { StoredStateReader } from './StoredStateReader.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
 import { CommandSender } from './CommandSender.js';
 import { PrefixFollower } from './PrefixFollower.js';
@@ -41,10 +42,6 @@
  * Milliseconds that a watch of accepted jobs waits; an unresponsive watch is detected soon after.
  */
 const watchMs = 1_500;
-/** Timeout in milliseconds of the full read at a takeover: pages of up to a megabyte each. */
-const takeoverTimeoutMs = 2_000;
-/** Milliseconds before a failed takeover read is retried. */
-const takeoverRetryMs = 100;
 
 /** Registry of the available runners. */
 export interface RunnerRegistry {
@@ -252,33 +249,32 @@
   }
 
   private async loadStoredState(): Promise<boolean> {
-    const { store, registry, log } = this.services;
-    while (!this.isStopped) {
-      const deadline = this.now + takeoverTimeoutMs;
-      const [runners, jobs, progress] = await Promise.all([
-        registry.list(deadline),
-        store.list(StoreKeys.jobPrefix, deadline),
-        store.list(StoreKeys.progressPrefix, deadline),
-        this.learnedState.restore(deadline),
-      ]);
-      if (runners.isOk() && jobs.isOk() && progress.isOk()) {
-        this.dispatcher.updateRunners(runners.value, this.now);
-        this.runnersListedAt = this.now;
-        this.jobLoader.loadAll(jobs.value.items, progress.value.items);
-        this.watch.start((error) => this.logError(error), jobs.value.revision);
-        this.updateLinks();
-        log.emit(JobEvents.storedStateLoaded, {
-          token: this.termToken,
-          jobs: this.dispatcher.state.jobs.size,
-          runners: runners.value.length,
-          revision: jobs.value.revision,
-        });
-        this.publishSnapshot();
-        return true;
-      }
-      await delay(takeoverRetryMs);
+    const { store, registry, clock, log } = this.services;
+    const startedAt = this.now;
+    const reader = new StoredStateReader(store, registry, clock, log, () => !this.isStopped);
+    const stored = await reader.read();
+    if (stored === undefined) {
+      return false;
     }
-    return false;
+    const { runners, jobs, progress, revision } = stored;
+    this.learnedState.restore(stored.learnedState);
+    this.dispatcher.updateRunners(runners, this.now);
+    this.runnersListedAt = stored.runnersRequestedAt;
+    this.jobLoader.loadAll(jobs, progress);
+    this.watch.start((error) => this.logError(error), revision);
+    this.updateLinks();
+    log.emit(JobEvents.storedStateLoaded, {
+      token: this.termToken,
+      jobs: this.dispatcher.state.jobs.size,
+      progressRecords: progress.length,
+      runners: runners.length,
+      revision,
+      bytes: stored.bytes,
+      tries: stored.tries,
+      tookMs: Math.round(this.now - startedAt),
+    });
+    this.publishSnapshot();
+    return true;
   }
 
   private async step(): Promise<void> {
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -27,6 +27,7 @@
   leaseInDoubt: { code: 728, level: warn, text: 'lease not renewed in time, commands suspended' },
   leaseConfirmed: { code: 729, level: info, text: 'lease renewed, commands resumed' },
   learnedStateNotStored: { code: 731, level: warn, text: 'learned state not read or stored' },
+  storedStateNotRead: { code: 732, level: warn, text: 'stored state not read, retrying' },
   requestAnswered: { code: 730, level: info, text: 'request answered' },
   runnerUnanswered: { code: 740, level: warn, text: 'runner did not answer' },
   startUnsettled: { code: 742, level: warn, text: 'start call unanswered' },
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -7,6 +7,7 @@
   CoordinationStore,
   StoredItem,
   StoredItems,
+  StoredPage,
   Transaction,
 } from './CoordinationStore.js';
 export { RunnerError, RunnerErrorKind } from './RunnerClient.js';
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -56,6 +56,10 @@
     return ok({ items, revision: 1 });
   }
 
+  public async listPage(prefix: string): ReturnType<CoordinationStore['listPage']> {
+    return (await this.list(prefix)).map((items) => ({ ...items, hasMore: false }));
+  }
+
   public watch(): ReturnType<CoordinationStore['watch']> {
     return new Promise(() => {});
   }
--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -436,6 +436,7 @@
     maxTransactionEntries: store.maxTransactionEntries,
     read: (...call) => store.read(...call),
     list: (...call) => store.list(...call),
+    listPage: (...call) => store.listPage(...call),
     watch: (...call) => store.watch(...call),
     commit: (...call) => store.commit(...call),
     grantLease: (...call) => store.grantLease(...call),
--- a/packages/instance/src/takeoverLoad.test.ts
+++ b/packages/instance/src/takeoverLoad.test.ts
@@ -39,8 +39,6 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
-type ListedItems = Result<StoredItems, CoordinationError>;
-
 function unanswered(): Result<never, CoordinationError> {
   return err(new CoordinationError(CoordinationErrorKind.unanswered, 'no response'));
 }
@@ -74,6 +72,12 @@
 
   public readonly events: LoggedEvent[] = [];
 
+  /** Pages received, in order. */
+  public readonly pages: string[] = [];
+
+  /** Whether the answer with a page is lost. */
+  public loses: (page: string) => boolean = () => false;
+
   public readonly scheduling: Scheduling;
 
   public constructor({ jobs, linkMegabits }: TakeoverOptions) {
@@ -134,6 +138,16 @@
       maxTransactionEntries: store.maxTransactionEntries,
       read: (key) => store.read(key),
       list: async (prefix, deadline) => this.carry(await store.list(prefix), deadline),
+      listPage: async (prefix, after, deadline) => {
+        const page = `${prefix} after ${after ?? ''}`;
+        const isLost = this.loses(page);
+        const listed = await this.carry(await store.listPage(prefix, after), deadline);
+        if (isLost || listed.isErr()) {
+          return unanswered();
+        }
+        this.pages.push(page);
+        return listed;
+      },
       watch: (prefix, after, waitMs) => store.watch(prefix, after, waitMs),
       commit: (transaction) => store.commit(transaction),
       grantLease: () => store.grantLease(),
@@ -142,7 +156,10 @@
     };
   }
 
-  private async carry(listed: ListedItems, deadline: number): Promise<ListedItems> {
+  private async carry<T extends StoredItems>(
+    listed: Result<T, CoordinationError>,
+    deadline: number,
+  ): Promise<Result<T, CoordinationError>> {
     const bytes = listed.isOk() ? countWireBytes(listed.value.items) : 0;
     return (await this.link.carry(bytes, deadline)) ? listed : unanswered();
   }
@@ -187,3 +204,54 @@
   t.true(takeover.isLoaded, `${Math.round(takeover.link.carriedBytes / 1_000)} KB carried`);
   t.is(takeover.scheduling.dispatcher.state.jobs.size, 2_000);
 });
+
+// Progress is kept between tries: a fault in a late page must not cost the pages before it.
+test.serial('pages read before a failed one are not read again', async (t) => {
+  using takeover = new VirtualTakeover({ jobs: 2_000, linkMegabits: 10 });
+  const lost = new Set<string>();
+  takeover.loses = (page) => !lost.has(page) && lost.add(page).size > 0;
+  await takeover.load(takeoverBoundMs);
+  t.true(takeover.isLoaded);
+  t.true(lost.size > 2, 'several pages of each list');
+  t.deepEqual(takeover.pages, [...new Set(takeover.pages)]);
+  const failures = takeover.events.filter(({ code }) => code === JobEvents.storedStateNotRead.code);
+  t.true(failures.length > 0);
+  const loaded = takeover.events.find(({ code }) => code === JobEvents.storedStateLoaded.code);
+  t.is(loaded?.fields.jobs, 2_000);
+  t.is(loaded?.fields.progressRecords, 2_000);
+});
+
+// The timeout of a page was the same however slow the link.
+test.serial('a page that is late is given more time', async (t) => {
+  using takeover = new VirtualTakeover({ jobs: 500, linkMegabits: 1 });
+  await takeover.load(60_000);
+  t.true(takeover.isLoaded);
+  const timeouts = takeover.events
+    .filter(({ code }) => code === JobEvents.storedStateNotRead.code)
+    .map(({ fields }) => fields.timeoutMs);
+  t.deepEqual(timeouts, [2_000, 4_000, 8_000]);
+});
+
+// Pages are no snapshot: the second page does not show a job whose key lies in the first one.
+test.serial('a job accepted while pages are read is loaded', async (t) => {
+  using takeover = new VirtualTakeover({ jobs: 2_000, linkMegabits: 10 });
+  takeover.scheduling.start();
+  while (takeover.pages.length === 0) {
+    await takeover.run(10);
+  }
+  takeover.putJob('a000000000000001');
+  await takeover.run(takeoverBoundMs);
+  t.is(takeover.scheduling.dispatcher.state.jobs.size, 2_001);
+});
+
+test.serial('a successor that loses its term stops reading', async (t) => {
+  using takeover = new VirtualTakeover({ jobs: 2_000, linkMegabits: 10 });
+  takeover.scheduling.start();
+  await takeover.run(1_000);
+  takeover.scheduling[Symbol.dispose]();
+  await takeover.run(2_000);
+  const { length } = takeover.pages;
+  await takeover.run(takeoverBoundMs);
+  t.is(takeover.pages.length, length);
+  t.false(takeover.isLoaded);
+});
--- a/packages/testing/src/VirtualCoordinationStore.ts
+++ b/packages/testing/src/VirtualCoordinationStore.ts
@@ -13,6 +13,10 @@
   readonly revision: number;
 }
 
+interface Page extends Items {
+  readonly hasMore: boolean;
+}
+
 interface Transaction {
   readonly expect: readonly { readonly key: string; readonly revision: number }[];
   readonly writes: readonly { readonly key: string; readonly value: string }[];
@@ -23,6 +27,9 @@
   | { readonly isCommitted: true; readonly revision: number }
   | { readonly isCommitted: false; readonly items: readonly Item[] };
 
+/** Largest number of items in a page, and of characters in their values. */
+const maxPageItems = 500;
+const maxPageCharacters = 1_000_000;
 /** Interval in milliseconds at which a watch looks for changes. */
 const watchPollMs = 10;
 
@@ -58,6 +65,19 @@
     return ok({ items, revision: this.revision });
   }
 
+  public async listPage(prefix: string, after = ''): Promise<Result<Page, never>> {
+    await delay(this.callMs);
+    const items = this.changes(prefix, 0)
+      .filter(({ key, value }) => value !== undefined && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    let characters = 0;
+    const page = items.slice(0, maxPageItems).filter(({ value = '' }, index) => {
+      characters += value.length;
+      return index === 0 || characters <= maxPageCharacters;
+    });
+    return ok({ items: page, revision: this.revision, hasMore: page.length < items.length });
+  }
+
   public async watch(prefix: string, after: number, waitMs: number): Promise<Result<Items, never>> {
     for (let waitedMs = 0; waitedMs < waitMs; waitedMs += watchPollMs) {
       await delay(watchPollMs);
