Failing test: a holder that cannot load the stored jobs keeps the leadership

Shown in virtual time: the reads of one instance get no answer, another one competes for the key and has none after 15 s. Leases of the stand-in store now free their keys when they are ended.

--- /dev/null
+++ b/packages/instance/src/leadershipTransfer.test.ts
@@ -0,0 +1,169 @@
+import type { Clock } from '@apricothoist/common';
+import { delay, Random } from '@apricothoist/common';
+import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
+import { replayBounds, VirtualCoordinationStore } from '@apricothoist/testing';
+import { install } from '@sinonjs/fake-timers';
+import test from 'ava';
+import { err, ok } from 'neverthrow';
+
+import type { CoordinationStore } from './CoordinationStore.js';
+import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
+import { Election } from './Election.js';
+import { JobEvents } from './events.js';
+import { JobInstance } from './JobInstance.js';
+import { StoreKeys } from './keys.js';
+import type { RunnerClient } from './RunnerClient.js';
+
+/** Milliseconds within which jobs must run again after a takeover. */
+const takeoverBoundMs = 15_000;
+
+interface LoggedEvent {
+  readonly at: number;
+  readonly code: number;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** An instance that takes over in virtual time; the test decides when it can read the jobs. */
+class VirtualTakeover implements AsyncDisposable {
+  private readonly timers = install({
+    now: 1_000_000,
+    toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval'],
+  });
+
+  private readonly startedAt = this.timers.now;
+
+  private readonly clock: Clock = {
+    monotonic: () => this.timers.now,
+    wall: () => this.timers.now,
+  };
+
+  private readonly store = new VirtualCoordinationStore();
+
+  private readonly events: LoggedEvent[] = [];
+
+  private readonly instance: JobInstance;
+
+  private readonly elections: Election[] = [];
+
+  /** @param pageMs milliseconds until the answer with the jobs; Infinity if there is none */
+  public constructor(private readonly pageMs: number) {
+    const log = new EventLog('test', LogLevel.error, LogFormat.text, this.clock);
+    log.emit = ({ code }, fields = {}) => this.events.push({ at: this.now, code, fields });
+    this.instance = new JobInstance(
+      {
+        name: 'slow',
+        feedHost: '127.0.0.1',
+        feedPort: 0,
+        cores: 1,
+        revokeMs: 5_000,
+        bounds: replayBounds,
+      },
+      {
+        store: this.createStore(),
+        registry: { list: async () => ok([]) },
+        runners: {} as RunnerClient,
+        clock: this.clock,
+        steadyClock: this.clock,
+        random: new Random(1),
+        log,
+        configurationKey: 'configuration',
+        decodeConfiguration: () => err(new Error('no configuration')),
+      },
+    );
+  }
+
+  /** Milliseconds since the start. */
+  public get now(): number {
+    return this.timers.now - this.startedAt;
+  }
+
+  public eventsOf({ code }: { readonly code: number }): LoggedEvent[] {
+    return this.events.filter((event) => event.code === code);
+  }
+
+  private createStore(): CoordinationStore {
+    const { store } = this;
+    const isLate = async (prefix: string, deadline: number): Promise<boolean> => {
+      const waitMs = prefix === StoreKeys.jobPrefix ? this.pageMs : 0;
+      const answersAt = this.timers.now + waitMs;
+      await delay(Math.min(waitMs, deadline - this.timers.now));
+      return answersAt > deadline;
+    };
+    const unanswered = new CoordinationError(CoordinationErrorKind.unanswered, 'no response');
+    return {
+      maxTransactionEntries: store.maxTransactionEntries,
+      read: (key) => store.read(key),
+      list: async (prefix, deadline) =>
+        (await isLate(prefix, deadline)) ? err(unanswered) : store.list(prefix),
+      listPage: async (prefix, after, deadline) =>
+        (await isLate(prefix, deadline)) ? err(unanswered) : store.listPage(prefix, after),
+      watch: (prefix, after, waitMs) => store.watch(prefix, after, waitMs),
+      commit: (transaction) => store.commit(transaction),
+      grantLease: () => store.grantLease(),
+      renewLease: (lease) => store.renewLease(lease),
+      endLease: (lease) => store.endLease(lease),
+    };
+  }
+
+  /** Starts the instance, which finds the key free. */
+  public async start(): Promise<void> {
+    const started = this.instance.start();
+    await this.run(1_000);
+    await started;
+  }
+
+  /** Adds another instance that competes for the key. */
+  public addCompetitor(): Election {
+    const self = { instance: 'other', feedAddress: '127.0.0.1:1' };
+    const random = new Random(2);
+    const election = new Election(
+      this.store,
+      this.clock,
+      random,
+      self,
+      () => false,
+      () => 0,
+    );
+    this.elections.push(election);
+    election.start();
+    return election;
+  }
+
+  /** Advances virtual time. */
+  public async run(milliseconds: number): Promise<void> {
+    await this.until(delay(milliseconds));
+  }
+
+  private async until(awaited: Promise<unknown>): Promise<void> {
+    let hasEnded = false;
+    const ended = awaited.finally(() => {
+      hasEnded = true;
+    });
+    while (!hasEnded) {
+      this.timers.next();
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+    await ended;
+  }
+
+  public async [Symbol.asyncDispose](): Promise<void> {
+    for (const owned of [this.instance, ...this.elections]) {
+      await this.until(owned[Symbol.asyncDispose]());
+    }
+    this.timers.uninstall();
+  }
+}
+
+// The holder renewed its lease for the rest of the day without the jobs, and nothing ran.
+test.serial('a holder that cannot load the stored jobs transfers the leadership', async (t) => {
+  await using takeover = new VirtualTakeover(Infinity);
+  await takeover.start();
+  t.is(takeover.eventsOf(JobEvents.leadershipGained).length, 1);
+  const competitor = takeover.addCompetitor();
+  await takeover.run(takeoverBoundMs - takeover.now);
+  t.not(competitor.token, undefined);
+  const [ended] = takeover.eventsOf(JobEvents.leadershipLost);
+  t.regex(String(ended?.fields.reason), /stored jobs/);
+});
--- a/packages/testing/src/VirtualCoordinationStore.ts
+++ b/packages/testing/src/VirtualCoordinationStore.ts
@@ -19,7 +19,7 @@
 
 interface Transaction {
   readonly expect: readonly { readonly key: string; readonly revision: number }[];
-  readonly writes: readonly { readonly key: string; readonly value: string }[];
+  readonly writes: readonly { readonly key: string; readonly value: string; lease?: number }[];
   readonly deletes?: readonly string[];
 }
 
@@ -42,7 +42,8 @@
 
   private readonly items = new Map<string, Item>();
 
-  private readonly leases = new Set<number>();
+  /** Keys by the lease that they were written with. */
+  private readonly leases = new Map<number, string[]>();
 
   private revision = 0;
 
@@ -103,7 +104,10 @@
     }
     this.revision += 1;
     const { revision } = this;
-    writes.forEach(({ key, value }) => this.items.set(key, { key, value, revision }));
+    writes.forEach(({ key, value, lease = 0 }) => {
+      this.items.set(key, { key, value, revision });
+      this.leases.get(lease)?.push(key);
+    });
     deletes
       .filter((key) => this.items.get(key)?.value !== undefined)
       .forEach((key) => this.items.set(key, { key, revision }));
@@ -112,17 +116,21 @@
 
   public async grantLease(): Promise<Result<number, never>> {
     this.revision += 1;
-    this.leases.add(this.revision);
+    this.leases.set(this.revision, []);
     return ok(this.revision);
   }
 
   public async renewLease(lease: number): Promise<Result<void, never>> {
-    this.leases.add(lease);
+    this.leases.set(lease, this.leases.get(lease) ?? []);
     return ok(undefined);
   }
 
   public async endLease(lease: number): Promise<Result<void, never>> {
+    const keys = this.leases.get(lease) ?? [];
     this.leases.delete(lease);
+    this.revision += 1;
+    const { revision } = this;
+    keys.forEach((key) => this.items.set(key, { key, revision }));
     return ok(undefined);
   }
 
