Transfer the leadership when the stored jobs cannot be loaded

Nothing tied the lease to the load.

A load that is not done after 5 s ends the term by Election.transferLeadership, and the reason in J721 says what was read, how often a read failed and why the last one did. 5 s leave two more instances their turn within the 15 s in which jobs must run again. LoadLimit doubles the limit with each failed load of the instance, so that there is no endless exchange when no instance can do it in time, and follows the time of a completed load. While the lease is in doubt the limit starts again: the store cannot be told of the transfer, and a paused lease would have to expire first.

Further tests: an instance alone whose load takes 12 s ends its terms after 5 s and 10 s and completes the third; no transfer while the lease is in doubt.

Ruled out: keeping pages for the next term of the same instance; progress may have changed in between.

--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -15,6 +15,7 @@
 import { FeedClient } from './FeedClient.js';
 import { FeedServer } from './FeedServer.js';
 import { JobStatusCache } from './JobStatusCache.js';
+import { LoadLimit } from './LoadLimit.js';
 import { JobService } from './JobService.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
 import type { RunnerClient } from './RunnerClient.js';
@@ -78,6 +79,8 @@
 
   private readonly transferPolicy: LeadershipTransferPolicy;
 
+  private readonly loadLimit = new LoadLimit();
+
   private readonly onError = (error: unknown): void => {
     this.services.log.emit(JobEvents.unexpectedError, { message: String(error) });
   };
@@ -222,6 +225,8 @@
         counters: this.counters,
         token: () => this.election.token,
         resign: (reason) => this.election.resign(reason),
+        transfer: (reason) => this.transferLeadership(reason),
+        loadLimit: this.loadLimit,
         publish: (update) => this.publish(update),
       },
       term.token,
@@ -238,10 +243,14 @@
     this.feedServer.open();
     this.feedServer.publish(update);
     if (this.transferPolicy.isDue(followerCores, this.services.clock.monotonic())) {
-      this.election.transferLeadership(`a follower has ${followerCores} cores`).catch(this.onError);
+      this.transferLeadership(`a follower has ${followerCores} cores`);
     }
   }
 
+  private transferLeadership(reason: string): void {
+    this.election.transferLeadership(reason).catch(this.onError);
+  }
+
   private endScheduling(reason: string): void {
     this.services.log.emit(JobEvents.leadershipLost, { reason });
     this.scheduling?.[Symbol.dispose]();
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -18,6 +18,7 @@
 import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
 import { LearnedStateStore } from './LearnedStateStore.js';
+import type { LoadLimit } from './LoadLimit.js';
 import { StoredJobLoader } from './StoredJobLoader.js';
 import { StoreKeys } from './keys.js';
 import { StoredStateReader } from './StoredStateReader.js';
@@ -64,6 +65,9 @@
   /** Fencing token while the lease is valid, undefined otherwise. */
   readonly token: () => number | undefined;
   readonly resign: (reason: string) => void;
+  /** Gives the leadership to another instance. */
+  readonly transfer: (reason: string) => void;
+  readonly loadLimit: LoadLimit;
   readonly publish: (update: JobUpdate) => void;
 }
 
@@ -87,6 +91,8 @@
 
   private readonly jobLoader: StoredJobLoader;
 
+  private loadTimer: NodeJS.Timeout | undefined;
+
   private isStopped = false;
 
   private hasPendingEvents = false;
@@ -249,13 +255,17 @@
   }
 
   private async loadStoredState(): Promise<boolean> {
-    const { store, registry, clock, log } = this.services;
+    const { store, registry, clock, log, loadLimit } = this.services;
     const startedAt = this.now;
     const reader = new StoredStateReader(store, registry, clock, log, () => !this.isStopped);
+    this.limitLoad(reader, startedAt);
     const stored = await reader.read();
+    clearTimeout(this.loadTimer);
     if (stored === undefined) {
       return false;
     }
+    const tookMs = Math.round(this.now - startedAt);
+    loadLimit.recordLoad(tookMs);
     const { runners, jobs, progress, revision } = stored;
     this.learnedState.restore(stored.learnedState);
     this.dispatcher.updateRunners(runners, this.now);
@@ -271,12 +281,33 @@
       revision,
       bytes: stored.bytes,
       tries: stored.tries,
-      tookMs: Math.round(this.now - startedAt),
+      tookMs,
     });
     this.publishSnapshot();
     return true;
   }
 
+  private limitLoad(reader: StoredStateReader, startedAt: number): void {
+    const deadline = this.services.loadLimit.deadlineFrom(this.now);
+    this.loadTimer = setTimeout(() => {
+      // A lease in doubt cannot be ended either: the store is out of reach, perhaps for all.
+      if (this.token === undefined) {
+        this.limitLoad(reader, startedAt);
+      } else {
+        this.giveUpLoad(reader, startedAt);
+      }
+    }, deadline - this.now);
+  }
+
+  private giveUpLoad(reader: StoredStateReader, startedAt: number): void {
+    this.services.loadLimit.recordFailure();
+    const { jobItems, progressRecords, failures, lastFailure = 'none' } = reader.status;
+    this.services.transfer(
+      `stored jobs not loaded after ${Math.round(this.now - startedAt)} ms: ${jobItems} items of ` +
+        `jobs and ${progressRecords} of progress read, ${failures} failed reads, last: ${lastFailure}`,
+    );
+  }
+
   private async step(): Promise<void> {
     this.listRunnersIfDue();
     const { clock, steadyClock } = this.services;
@@ -389,6 +420,7 @@
 
   public [Symbol.dispose](): void {
     this.isStopped = true;
+    clearTimeout(this.loadTimer);
     this.watch[Symbol.dispose]();
     this.links.forEach((link) => link[Symbol.dispose]());
     this.links.clear();
--- a/packages/instance/src/StoredStateReader.ts
+++ b/packages/instance/src/StoredStateReader.ts
@@ -50,6 +50,14 @@
   readonly tries: number;
 }
 
+/** How far a load has come. */
+export interface LoadStatus {
+  readonly jobItems: number;
+  readonly progressRecords: number;
+  readonly failures: number;
+  readonly lastFailure: string | undefined;
+}
+
 /**
  * Reads the stored state at a takeover, in parts of bounded size. A failed call repeats only its
  * own part: pages already read stay valid, as changes of jobs are watched from the first page on,
@@ -64,6 +72,8 @@
 
   private failures = 0;
 
+  private lastFailure: string | undefined;
+
   private failureLoggedAt = -Infinity;
 
   /** Milliseconds; the link to the store is the same for all parts. */
@@ -79,6 +89,16 @@
     private readonly isNeeded: () => boolean,
   ) {}
 
+  public get status(): LoadStatus {
+    const { failures, lastFailure } = this;
+    return {
+      jobItems: this.jobs.items.length,
+      progressRecords: this.progress.items.length,
+      failures,
+      lastFailure,
+    };
+  }
+
   /** Resolves to undefined once the state is no longer needed. */
   public async read(): Promise<StoredState | undefined> {
     const [, firstLearnedState, firstRunners] = await Promise.all([
@@ -180,6 +200,7 @@
     items: number,
   ): void {
     this.failures += 1;
+    this.lastFailure = `${part}: ${message}`;
     const now = this.clock.monotonic();
     if (now - this.failureLoggedAt < failureLogIntervalMs) {
       return;
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -27,6 +27,7 @@
 import { JobService, Lookup, SubmitOutcome } from './JobService.js';
 import { StoreKeys } from './keys.js';
 import { RecentSet } from './RecentSet.js';
+import { LoadLimit } from './LoadLimit.js';
 import type { RunnerClient } from './RunnerClient.js';
 import type { SchedulingServices } from './Scheduling.js';
 import { Scheduling } from './Scheduling.js';
@@ -111,6 +112,8 @@
       counters: new RunCounters(),
       token: () => 7,
       resign: (reason) => resigned.push(reason),
+      transfer: () => {},
+      loadLimit: new LoadLimit(),
       publish: () => {},
       ...services,
     },
--- a/packages/instance/src/leadershipTransfer.test.ts
+++ b/packages/instance/src/leadershipTransfer.test.ts
@@ -1,7 +1,15 @@
 import type { Clock } from '@apricothoist/common';
 import { delay, Random } from '@apricothoist/common';
+import type { Queue } from '@apricothoist/dispatch';
+import { JobState } from '@apricothoist/dispatch';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
-import { replayBounds, VirtualCoordinationStore } from '@apricothoist/testing';
+import {
+  createSpecification,
+  plainStep,
+  replayBounds,
+  replayQueues,
+  VirtualCoordinationStore,
+} from '@apricothoist/testing';
 import { install } from '@sinonjs/fake-timers';
 import test from 'ava';
 import { err, ok } from 'neverthrow';
@@ -12,8 +20,10 @@
 import { JobEvents } from './events.js';
 import { JobInstance } from './JobInstance.js';
 import { StoreKeys } from './keys.js';
+import { LoadLimit } from './LoadLimit.js';
 import type { RunnerClient } from './RunnerClient.js';
 
+const queue = replayQueues.urgent as Queue;
 /** Milliseconds within which jobs must run again after a takeover. */
 const takeoverBoundMs = 15_000;
 
@@ -105,6 +115,16 @@
     };
   }
 
+  public putJobs(count: number): void {
+    for (let number = 1; number <= count; number += 1) {
+      const id = String(number).padStart(16, '0');
+      const specification = { ...createSpecification(id, [plainStep]), acceptedAt: 0 };
+      this.store.put(StoreKeys.job(id), JSON.stringify({ specification, queue }));
+      const ended = { state: JobState.completed, hasStarted: true, occurrences: 0, done: [] };
+      this.store.put(StoreKeys.progress(id), JSON.stringify({ ...ended, units: [] }));
+    }
+  }
+
   /** Starts the instance, which finds the key free. */
   public async start(): Promise<void> {
     const started = this.instance.start();
@@ -167,3 +187,32 @@
   const [ended] = takeover.eventsOf(JobEvents.leadershipLost);
   t.regex(String(ended?.fields.reason), /stored jobs/);
 });
+
+// A fixed limit would end each term of the only instance before its load is done.
+test.serial('a load that takes long is completed when no other instance can do it', async (t) => {
+  await using takeover = new VirtualTakeover(1_500);
+  takeover.putJobs(4_000);
+  await takeover.start();
+  await takeover.run(40_000);
+  const gained = takeover.eventsOf(JobEvents.leadershipGained);
+  const lost = takeover.eventsOf(JobEvents.leadershipLost);
+  const [loaded] = takeover.eventsOf(JobEvents.storedStateLoaded);
+  t.is(loaded?.fields.jobs, 4_000);
+  const lostAt = lost.map(({ at }) => at);
+  t.deepEqual(
+    lostAt.map((at, index) => at - (gained[index]?.at ?? 0)),
+    [5_000, 10_000],
+  );
+});
+
+test('the limit of a load doubles with each failure and follows the time of a completed one', (t) => {
+  const limit = new LoadLimit();
+  t.is(limit.deadlineFrom(1_000), 6_000);
+  limit.recordFailure();
+  t.is(limit.deadlineFrom(0), 10_000);
+  limit.recordFailure();
+  limit.recordLoad(12_000);
+  t.is(limit.deadlineFrom(0), 24_000);
+  limit.recordLoad(100);
+  t.is(limit.deadlineFrom(0), 5_000);
+});
--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -27,6 +27,7 @@
 import type { CoordinationStore } from './CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
+import { LoadLimit } from './LoadLimit.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
 import { RunnerError, RunnerErrorKind } from './RunnerClient.js';
 import type { SchedulingServices } from './Scheduling.js';
@@ -193,6 +194,8 @@
           this.resignations.push(reason);
         }
       },
+      transfer: () => {},
+      loadLimit: new LoadLimit(),
       publish: () => {},
     };
   }
--- a/packages/instance/src/takeoverLoad.test.ts
+++ b/packages/instance/src/takeoverLoad.test.ts
@@ -20,6 +20,7 @@
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
 import { JobEvents } from './events.js';
 import { StoreKeys } from './keys.js';
+import { LoadLimit } from './LoadLimit.js';
 import type { RunnerClient } from './RunnerClient.js';
 import { Scheduling } from './Scheduling.js';
 
@@ -78,6 +79,12 @@
   /** Whether the answer with a page is lost. */
   public loses: (page: string) => boolean = () => false;
 
+  /** Whether the lease could not be renewed. */
+  public isInDoubt = false;
+
+  /** Reasons for which the leadership was given to another instance. */
+  public readonly transfers: string[] = [];
+
   public readonly scheduling: Scheduling;
 
   public constructor({ jobs, linkMegabits }: TakeoverOptions) {
@@ -123,8 +130,10 @@
         log,
         bounds: replayBounds,
         counters: new RunCounters(),
-        token: () => token,
+        token: () => (this.isInDoubt ? undefined : token),
         resign: () => {},
+        transfer: (reason) => this.transfers.push(reason),
+        loadLimit: new LoadLimit(),
         publish: () => {},
       },
       token,
@@ -255,3 +264,16 @@
   t.is(takeover.pages.length, length);
   t.false(takeover.isLoaded);
 });
+
+// While the store is out of reach the lease can be neither renewed nor ended, and others fail too.
+test.serial('leadership is not transferred for a load while the lease is in doubt', async (t) => {
+  using takeover = new VirtualTakeover({ jobs: 2_000, linkMegabits: 10 });
+  takeover.isInDoubt = true;
+  takeover.loses = () => true;
+  takeover.scheduling.start();
+  await takeover.run(takeoverBoundMs);
+  t.deepEqual(takeover.transfers, []);
+  takeover.isInDoubt = false;
+  await takeover.run(takeoverBoundMs);
+  t.is(takeover.transfers.length, 1);
+});
