--- a/packages/instance/src/takeoverLoad.test.ts
+++ b/packages/instance/src/takeoverLoad.test.ts
@@ -1,3 +1,5 @@
+import process from 'node:process';
+
 import type { Clock } from '@apricothoist/common';
 import { delay, Random } from '@apricothoist/common';
 import type { Queue } from '@apricothoist/dispatch';
@@ -34,6 +36,8 @@
 /** Milliseconds within which a successor must have loaded the stored jobs. */
 const takeoverBoundMs = 15_000;
 const token = 7;
+/** RUN_LOG=info prints what a load costs. */
+const isTraced = process.env.RUN_LOG === 'info';
 
 interface LoggedEvent {
   readonly code: number;
@@ -173,6 +177,13 @@
     return (await this.link.carry(bytes, deadline)) ? listed : unanswered();
   }
 
+  /** Reads all items without the link. */
+  public async readAll(): Promise<StoredItems> {
+    const listed = this.store.list('');
+    await this.run(this.store.callMs);
+    return (await listed)._unsafeUnwrap();
+  }
+
   /** Advances virtual time until the stored jobs are loaded; returns the time taken. */
   public async load(limitMs: number): Promise<number> {
     const startedAt = this.now;
@@ -277,3 +288,22 @@
   await takeover.run(takeoverBoundMs);
   t.is(takeover.transfers.length, 1);
 });
+
+// Run with RUN_LOG=info, the test prints the table of docs/CAPACITY.md.
+test.serial('a takeover reads each stored byte once, whatever the number of jobs', async (t) => {
+  for (const jobs of [800, 2_000, 10_000]) {
+    for (const linkMegabits of [7, 10, 50, 200]) {
+      using takeover = new VirtualTakeover({ jobs, linkMegabits });
+      const bytes = countWireBytes((await takeover.readAll()).items);
+      const tookMs = await takeover.load(60_000);
+      const loaded = takeover.events.find(({ code }) => code === JobEvents.storedStateLoaded.code);
+      t.is(loaded?.fields.jobs, jobs);
+      t.is(Math.round(takeover.link.carriedBytes), Math.round(bytes));
+      if (isTraced) {
+        const { tries } = loaded?.fields ?? {};
+        const isTransferred = takeover.transfers.length > 0;
+        t.log({ jobs, linkMegabits, wireBytes: Math.round(bytes), tookMs, tries, isTransferred });
+      }
+    }
+  }
+});
