Give a late page no more time while the store is out of reach

A read that begins shortly before the end of a store outage would have kept a timeout of up to 16 s, and the jobs would have stayed unloaded for that long after the store was back.

The timeout grows only while the lease is valid, that is while the store answers renewals: then the answer is slow and not missing. The new test puts the store out of reach for 15 s: before, the jobs were not loaded 15 s after its return; now they are within 2.5 s, one call of 2 s and the load.

--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -257,7 +257,14 @@
   private async loadStoredState(): Promise<boolean> {
     const { store, registry, clock, log, loadLimit } = this.services;
     const startedAt = this.now;
-    const reader = new StoredStateReader(store, registry, clock, log, () => !this.isStopped);
+    const reader = new StoredStateReader(
+      store,
+      registry,
+      clock,
+      log,
+      () => !this.isStopped,
+      () => this.token !== undefined,
+    );
     this.limitLoad(reader, startedAt);
     const stored = await reader.read();
     clearTimeout(this.loadTimer);
--- a/packages/instance/src/StoredStateReader.ts
+++ b/packages/instance/src/StoredStateReader.ts
@@ -14,7 +14,7 @@
 const firstTimeoutMs = 2_000;
 /** Longest timeout of a call in milliseconds: the same page over less than 1 Mbit/s. */
 const maxTimeoutMs = 16_000;
-/** Factor of the timeout after a call that was late. */
+/** Factor of the timeout after a call that was late over a slow link. */
 const timeoutFactor = 2;
 /** Milliseconds before a failed call is retried. */
 const retryMs = 100;
@@ -87,6 +87,8 @@
     private readonly clock: Clock,
     private readonly log: EventLog,
     private readonly isNeeded: () => boolean,
+    /** Whether the store answers this instance, for example renewals of the lease. */
+    private readonly isStoreReachable: () => boolean,
   ) {}
 
   public get status(): LoadStatus {
@@ -184,7 +186,8 @@
     this.tries += 1;
     const result = await call(deadline);
     if (result.isErr()) {
-      if (this.clock.monotonic() >= deadline) {
+      // A store that answers nothing is not slow; a long call would outlast its outage.
+      if (this.clock.monotonic() >= deadline && this.isStoreReachable()) {
         const longerMs = Math.min(maxTimeoutMs, timeoutMs * timeoutFactor);
         this.timeoutMs = Math.max(this.timeoutMs, longerMs);
       }
--- a/packages/instance/src/takeoverLoad.test.ts
+++ b/packages/instance/src/takeoverLoad.test.ts
@@ -289,6 +289,21 @@
   t.is(takeover.transfers.length, 1);
 });
 
+// A store that answers nothing is not slow: a long timeout would outlast its outage.
+test.serial('a read is not given more time while the store is out of reach', async (t) => {
+  using takeover = new VirtualTakeover({ jobs: 800, linkMegabits: 0 });
+  takeover.isInDoubt = true;
+  takeover.scheduling.start();
+  await takeover.run(takeoverBoundMs);
+  takeover.isInDoubt = false;
+  takeover.link.bytesPerMs = bytesPerMegabit;
+  const reachableAt = takeover.now;
+  while (!takeover.isLoaded && takeover.now < reachableAt + takeoverBoundMs) {
+    await takeover.run(10);
+  }
+  t.true(takeover.now - reachableAt < 2_500, `${takeover.now - reachableAt} ms`);
+});
+
 // Run with RUN_LOG=info, the test prints the table of docs/CAPACITY.md.
 test.serial('a takeover reads each stored byte once, whatever the number of jobs', async (t) => {
   for (const jobs of [800, 2_000, 10_000]) {
