--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -150,6 +150,7 @@
 
   public get status(): Readonly<Record<string, number>> {
     const { ends, overlaps, unsettledStarts } = this.counters;
+    const loadCost = this.scheduling?.loadCost;
     return {
       run_ends_reported: ends.reported,
       run_ends_refused: ends.refused,
@@ -158,6 +159,9 @@
       runs_overlapping: overlaps,
       starts_unsettled: unsettledStarts,
       scheduling: this.isScheduling ? 1 : 0,
+      stored_state_loaded: loadCost === undefined ? 0 : 1,
+      stored_state_load_milliseconds: loadCost?.tookMs ?? 0,
+      stored_state_load_bytes: loadCost?.bytes ?? 0,
       followers: this.feedServer.followers,
       jobs_known: this.statusCache.size,
       board_age_milliseconds: Math.round(this.statusCache.ageMs),
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -71,6 +71,13 @@
   readonly publish: (update: JobUpdate) => void;
 }
 
+/** What the load of the stored state has cost. */
+export interface LoadCost {
+  readonly tookMs: number;
+  /** Bytes of jobs and progress. */
+  readonly bytes: number;
+}
+
 /**
  * One leadership term as the scheduling instance: loads the stored state, fences the previous
  * holder at each runner, and then turns events into commands. A command is sent only after the
@@ -79,6 +86,9 @@
 export class Scheduling implements RunnerLinkOwner, Disposable {
   public readonly dispatcher: Dispatcher;
 
+  /** Cost of the load of the stored state; undefined until it is done. */
+  public loadCost: LoadCost | undefined;
+
   private readonly links = new Map<string, RunnerLink>();
 
   private readonly lastStoredEnds = new Map<string, { processStartedAt: number; end: number }>();
@@ -273,6 +283,7 @@
     }
     const tookMs = Math.round(this.now - startedAt);
     loadLimit.recordLoad(tookMs);
+    this.loadCost = { tookMs, bytes: stored.bytes };
     const { runners, jobs, progress, revision } = stored;
     this.learnedState.restore(stored.learnedState);
     this.dispatcher.updateRunners(runners, this.now);
--- a/packages/instance/src/leadershipTransfer.test.ts
+++ b/packages/instance/src/leadershipTransfer.test.ts
@@ -51,7 +51,7 @@
 
   private readonly events: LoggedEvent[] = [];
 
-  private readonly instance: JobInstance;
+  public readonly instance: JobInstance;
 
   private readonly elections: Election[] = [];
 
@@ -193,11 +193,17 @@
   await using takeover = new VirtualTakeover(1_500);
   takeover.putJobs(4_000);
   await takeover.start();
+  t.is(takeover.instance.status.scheduling, 1);
+  t.is(takeover.instance.status.stored_state_loaded, 0);
   await takeover.run(40_000);
   const gained = takeover.eventsOf(JobEvents.leadershipGained);
   const lost = takeover.eventsOf(JobEvents.leadershipLost);
   const [loaded] = takeover.eventsOf(JobEvents.storedStateLoaded);
   t.is(loaded?.fields.jobs, 4_000);
+  t.is(takeover.instance.status.stored_state_loaded, 1);
+  const { stored_state_load_milliseconds: tookMs, stored_state_load_bytes: bytes } =
+    takeover.instance.status;
+  t.deepEqual({ tookMs, bytes }, { tookMs: loaded?.fields.tookMs, bytes: loaded?.fields.bytes });
   const lostAt = lost.map(({ at }) => at);
   t.deepEqual(
     lostAt.map((at, index) => at - (gained[index]?.at ?? 0)),
