--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -15,6 +15,7 @@
 import { FeedClient } from './FeedClient.js';
 import { FeedServer } from './FeedServer.js';
 import { JobStatusCache } from './JobStatusCache.js';
+import { LoadLimit } from './LoadLimit.js';
 import { JobService } from './JobService.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
 import type { RunnerClient } from './RunnerClient.js';
@@ -78,6 +79,8 @@
 
   private readonly transferPolicy: LeadershipTransferPolicy;
 
+  private readonly loadLimit = new LoadLimit();
+
   private readonly onError = (error: unknown): void => {
     this.services.log.emit(JobEvents.unexpectedError, { message: String(error) });
   };
@@ -147,6 +150,7 @@
 
   public get status(): Readonly<Record<string, number>> {
     const { ends, overlaps, unsettledStarts } = this.counters;
+    const loadCost = this.scheduling?.loadCost;
     return {
       run_ends_reported: ends.reported,
       run_ends_refused: ends.refused,
@@ -155,6 +159,9 @@
       runs_overlapping: overlaps,
       starts_unsettled: unsettledStarts,
       scheduling: this.isScheduling ? 1 : 0,
+      stored_state_loaded: loadCost === undefined ? 0 : 1,
+      stored_state_load_milliseconds: loadCost?.tookMs ?? 0,
+      stored_state_load_bytes: loadCost?.bytes ?? 0,
       followers: this.feedServer.followers,
       jobs_known: this.statusCache.size,
       board_age_milliseconds: Math.round(this.statusCache.ageMs),
@@ -224,6 +231,8 @@
         counters: this.counters,
         token: () => this.election.token,
         resign: (reason) => this.election.resign(reason),
+        transfer: (reason) => this.transferLeadership(reason),
+        loadLimit: this.loadLimit,
         publish: (update) => this.publish(update),
       },
       term.token,
@@ -240,10 +249,14 @@
     this.feedServer.open();
     this.feedServer.publish(update);
     if (this.transferPolicy.isDue(followerCores, this.services.clock.monotonic())) {
-      this.election.transferLeadership(`a follower has ${followerCores} cores`).catch(this.onError);
+      this.transferLeadership(`a follower has ${followerCores} cores`);
     }
   }
 
+  private transferLeadership(reason: string): void {
+    this.election.transferLeadership(reason).catch(this.onError);
+  }
+
   private endScheduling(reason: string): void {
     this.services.log.emit(JobEvents.leadershipLost, { reason });
     this.scheduling?.[Symbol.dispose]();
--- a/packages/testing/src/VirtualCoordinationStore.ts
+++ b/packages/testing/src/VirtualCoordinationStore.ts
@@ -13,9 +13,13 @@
   readonly revision: number;
 }
 
+interface Page extends Items {
+  readonly hasMore: boolean;
+}
+
 interface Transaction {
   readonly expect: readonly { readonly key: string; readonly revision: number }[];
-  readonly writes: readonly { readonly key: string; readonly value: string }[];
+  readonly writes: readonly { readonly key: string; readonly value: string; lease?: number }[];
   readonly deletes?: readonly string[];
 }
 
@@ -23,6 +27,9 @@
   | { readonly isCommitted: true; readonly revision: number }
   | { readonly isCommitted: false; readonly items: readonly Item[] };
 
+/** Largest number of items in a page, and of characters in their values. */
+const maxPageItems = 500;
+const maxPageCharacters = 1_000_000;
 /** Interval in milliseconds at which a watch looks for changes. */
 const watchPollMs = 10;
 
@@ -35,7 +42,8 @@
 
   private readonly items = new Map<string, Item>();
 
-  private readonly leases = new Set<number>();
+  /** Keys by the lease that they were written with. */
+  private readonly leases = new Map<number, string[]>();
 
   private revision = 0;
 
@@ -58,6 +66,19 @@
     return ok({ items, revision: this.revision });
   }
 
+  public async listPage(prefix: string, after = ''): Promise<Result<Page, never>> {
+    await delay(this.callMs);
+    const items = this.changes(prefix, 0)
+      .filter(({ key, value }) => value !== undefined && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    let characters = 0;
+    const page = items.slice(0, maxPageItems).filter(({ value = '' }, index) => {
+      characters += value.length;
+      return index === 0 || characters <= maxPageCharacters;
+    });
+    return ok({ items: page, revision: this.revision, hasMore: page.length < items.length });
+  }
+
   public async watch(prefix: string, after: number, waitMs: number): Promise<Result<Items, never>> {
     for (let waitedMs = 0; waitedMs < waitMs; waitedMs += watchPollMs) {
       await delay(watchPollMs);
@@ -83,7 +104,10 @@
     }
     this.revision += 1;
     const { revision } = this;
-    writes.forEach(({ key, value }) => this.items.set(key, { key, value, revision }));
+    writes.forEach(({ key, value, lease = 0 }) => {
+      this.items.set(key, { key, value, revision });
+      this.leases.get(lease)?.push(key);
+    });
     deletes
       .filter((key) => this.items.get(key)?.value !== undefined)
       .forEach((key) => this.items.set(key, { key, revision }));
@@ -92,17 +116,21 @@
 
   public async grantLease(): Promise<Result<number, never>> {
     this.revision += 1;
-    this.leases.add(this.revision);
+    this.leases.set(this.revision, []);
     return ok(this.revision);
   }
 
   public async renewLease(lease: number): Promise<Result<void, never>> {
-    this.leases.add(lease);
+    this.leases.set(lease, this.leases.get(lease) ?? []);
     return ok(undefined);
   }
 
   public async endLease(lease: number): Promise<Result<void, never>> {
+    const keys = this.leases.get(lease) ?? [];
     this.leases.delete(lease);
+    this.revision += 1;
+    const { revision } = this;
+    keys.forEach((key) => this.items.set(key, { key, revision }));
     return ok(undefined);
   }
 
