Move the virtual deployment of the overlap tests into files of its own

A second test file needs the scheduling instance with virtual runners. The class, its constants and the checks of runs move unchanged into packages/instance/src/testing; only exports and imports are added. The lint table of imports exempts that folder as it exempts test files.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,7 +34,7 @@
 
 const importDirections = Object.entries(allowedImports).map(([name, allowed]) => ({
   files: [`packages/${name}/src/**/*.ts`],
-  ignores: ['**/*.test.ts'],
+  ignores: ['**/*.test.ts', 'packages/*/src/testing/**'],
   rules: {
     'no-restricted-imports': [
       'error',
--- a/packages/instance/src/runOverlap.test.ts
+++ b/packages/instance/src/runOverlap.test.ts
@@ -1,341 +1,30 @@
 import process from 'node:process';
 
-import type { Clock } from '@apricothoist/common';
 import { delay, Random } from '@apricothoist/common';
-import type { ListedRunner, Queue, Resources, StartCommand, Step } from '@apricothoist/dispatch';
-import { JobState, RunCounters, RunEnd, StartOutcome } from '@apricothoist/dispatch';
-import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
-import type { CallFate, TaskBehaviour, VirtualCall, VirtualRunRecord } from '@apricothoist/testing';
+import { JobState, RunEnd, StartOutcome } from '@apricothoist/dispatch';
+import type { CallFate, VirtualCall, VirtualRunRecord } from '@apricothoist/testing';
 import {
   CallKind,
-  createSpecification,
   DispatchFixture,
   listedRunner,
   plainStep,
   RandomCallFates,
   replayBounds,
-  replayQueues,
-  VirtualCoordinationStore,
-  VirtualRunner,
-  VirtualRunnerClient,
-  VirtualRunnerPool,
 } from '@apricothoist/testing';
-import { install } from '@sinonjs/fake-timers';
 import test from 'ava';
-import { err, ok } from 'neverthrow';
+import { err } from 'neverthrow';
 
 import type { CoordinationStore } from './CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
-import { StoreKeys } from './keys.js';
-import type { OperatorConfiguration } from './OperatorConfiguration.js';
-import { RunnerError, RunnerErrorKind } from './RunnerClient.js';
-import type { SchedulingServices } from './Scheduling.js';
-import { Scheduling } from './Scheduling.js';
-import { SuspendAwareClock } from './SuspendAwareClock.js';
-
-const queue = replayQueues.urgent as Queue;
-const configurationOf = (route: Queue): OperatorConfiguration => ({
-  version: 1,
-  routes: [{ ...route, host: 'host', pathPrefix: '/urgent/', isPublic: true }],
-  accounts: [{ name: 'anna', guaranteedAccelerators: 0 }],
-  accountByKey: new Map(),
-  maxBodyBytes: 1_000,
-});
-/** Milliseconds that a gang waits for its members. */
-const gangTimeoutMs = 4_000;
-/** RUN_LOG=info prints the decisions and, for a failed seed, the calls that concern the task. */
-const isTraced = process.env.RUN_LOG === 'info';
-const logLevel = isTraced ? LogLevel.info : LogLevel.error;
-/** RUN_LATE=outlive lets late calls reach a process that started after they were sent. */
-const lateCallsOutliveProcess = process.env.RUN_LATE === 'outlive';
-const latencyMs = 2;
-/** Share of its time that the clock of a runner may lose. */
-const maxClockSlowness = 0.02;
-/** Milliseconds for which two instances believe that they are the holder. */
-const formerTermMs = 200;
-const delivered: CallFate = { kind: 'delivered', latencyMs };
-
-interface TraceLine {
-  readonly runnerId: string;
-  readonly text: string;
-}
-
-interface DeploymentOptions {
-  readonly runners: number;
-  readonly guardsCapacity?: boolean;
-  readonly capacity?: Resources;
-  readonly decideFate?: (call: VirtualCall) => CallFate;
-  readonly queue?: Queue;
-  readonly durationMs?: number;
-  readonly behave?: (command: StartCommand) => Partial<TaskBehaviour>;
-  /** Puts faults between the scheduling instance and its store. */
-  readonly wrapStore?: (store: CoordinationStore) => CoordinationStore;
-}
-
-/** The scheduling instance with virtual runners and a store, in virtual time. */
-class VirtualDeployment implements Disposable {
-  private readonly timers = install({
-    now: 1_000_000,
-    toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval'],
-  });
-
-  public readonly pool = new VirtualRunnerPool(gangTimeoutMs);
-
-  public readonly store = new VirtualCoordinationStore();
-
-  public readonly cutRunners = new Set<string>();
-
-  /** Registry entries of incarnations that have ended, until the next one has registered. */
-  private readonly staleEntries = new Map<string, ListedRunner>();
-
-  public readonly unlistedRunners = new Set<string>();
-
-  public readonly drainingRunners = new Set<string>();
-
-  /** Milliseconds by which the wall clock is ahead. */
-  public wallOffsetMs = 0;
-
-  private readonly jobSteps = new Map<string, readonly Step[]>();
-
-  private current: Scheduling | undefined;
-
-  private currentToken = 0;
-
-  private readonly terms = new Map<number, Scheduling>();
-
-  public readonly resignations: string[] = [];
-
-  private readonly traceLines: TraceLine[] = [];
-
-  public constructor(private readonly options: DeploymentOptions) {
-    for (let number = 1; number <= options.runners; number += 1) {
-      this.pool.add(
-        new VirtualRunner(
-          {
-            entry: listedRunner(`r${number}`, options.capacity && { capacity: options.capacity }),
-            clockSlowness: 1 + (maxClockSlowness * number) / options.runners,
-            maxLeaseMs: replayBounds.maxLeaseMs,
-            guardsCapacity: options.guardsCapacity ?? true,
-            behaviourOf: (command) => this.behaviourOf(command),
-          },
-          this.pool,
-          0,
-        ),
-      );
-    }
-  }
-
-  public get now(): number {
-    return this.timers.now;
-  }
-
-  public get scheduling(): Scheduling {
-    return this.current as Scheduling;
-  }
-
-  public stateOf(jobId: string): JobState | undefined {
-    return this.current?.dispatcher.state.jobs.get(jobId)?.state;
-  }
-
-  public submit(id: string, steps: readonly Partial<Step>[]): void {
-    const whole = steps.map((step): Step => ({ ...plainStep, ...step }));
-    this.jobSteps.set(id, whole);
-    const specification = { ...createSpecification(id, whole), acceptedAt: this.now };
-    this.store.put(
-      StoreKeys.job(id),
-      JSON.stringify({ specification, queue: this.options.queue ?? queue }),
-    );
-  }
-
-  /** Starts a term with a higher token, and ends the term before it. */
-  public takeOver(): void {
-    const former = this.current;
-    // The former holder learns a little later that its term has ended.
-    setTimeout(() => former?.[Symbol.dispose](), formerTermMs);
-    const token = this.store.put(StoreKeys.holder, '{}');
-    this.currentToken = token;
-    this.pool.all.forEach(({ id }) => this.trace(id, id, `is taken over by ${token}`));
-    this.current = new Scheduling(
-      this.createServices(token),
-      token,
-      configurationOf(this.options.queue ?? queue),
-    );
-    this.terms.set(token, this.current);
-    this.current.start();
-  }
-
-  private createServices(token: number): SchedulingServices {
-    const steadyClock: Clock = {
-      monotonic: () => this.now,
-      wall: () => this.now + this.wallOffsetMs,
-    };
-    const clock = new SuspendAwareClock(steadyClock);
-    return {
-      store: this.options.wrapStore?.(this.store) ?? this.store,
-      registry: {
-        list: async () => {
-          await delay(this.store.callMs);
-          return ok(this.listRunners());
-        },
-      },
-      runners: this.createClient(clock),
-      clock,
-      steadyClock,
-      random: new Random(token),
-      log: new EventLog('test', logLevel, LogFormat.text, clock),
-      bounds: replayBounds,
-      counters: new RunCounters(),
-      token: () => token,
-      // As the election does: the term ends before the call returns.
-      resign: (reason) => {
-        this.terms.get(token)?.[Symbol.dispose]();
-        if (token === this.currentToken) {
-          this.resignations.push(reason);
-        }
-      },
-      publish: () => {},
-    };
-  }
-
-  /** Advances virtual time. */
-  public async run(milliseconds: number): Promise<void> {
-    const end = this.now + milliseconds;
-    let hasElapsed = false;
-    setTimeout(() => {
-      hasElapsed = true;
-    }, milliseconds);
-    while (!hasElapsed) {
-      this.timers.next();
-      await new Promise((resolve) => {
-        setImmediate(resolve);
-      });
-    }
-    this.pool.advance(end);
-  }
-
-  /** Advances virtual time until all jobs have completed; false if they do not within the limit. */
-  public async runUntilCompleted(limitMs: number): Promise<boolean> {
-    const end = this.now + limitMs;
-    while ([...this.jobSteps.keys()].some((id) => this.stateOf(id) !== JobState.completed)) {
-      if (this.now >= end) {
-        return false;
-      }
-      await this.run(100);
-    }
-    return true;
-  }
-
-  /** Crashes a runner and starts it again under its id, `downMs` later. */
-  public restart(runnerId: string, downMs: number, registeredAfterMs = 0): void {
-    const runner = this.pool.get(runnerId);
-    const { entry } = runner;
-    this.pool.advance(this.now);
-    runner.crash(this.now);
-    this.trace(
-      runnerId,
-      runnerId,
-      `crashed for ${downMs} ms, then registered ${registeredAfterMs} ms later`,
-    );
-    this.staleEntries.set(runnerId, entry);
-    setTimeout(() => runner.restart(this.now, this.now), downMs);
-    setTimeout(() => this.staleEntries.delete(runnerId), downMs + registeredAfterMs);
-  }
-
-  private listRunners(): ListedRunner[] {
-    return this.pool.all
-      .filter(({ id }) => !this.unlistedRunners.has(id))
-      .map(({ id, entry }) => this.staleEntries.get(id) ?? entry)
-      .map((entry) => ({ ...entry, isDraining: this.drainingRunners.has(entry.id) }));
-  }
-
-  private createClient(clock: Clock): VirtualRunnerClient<RunnerError> {
-    return new VirtualRunnerClient(this.pool, {
-      clock,
-      now: () => this.now,
-      maxLeaseMs: replayBounds.maxLeaseMs,
-      decideFate: this.options.decideFate ?? ((): CallFate => delivered),
-      trace: (call, text) => this.trace(call.runnerId, JSON.stringify(call), text),
-      isCut: (runnerId) => this.cutRunners.has(runnerId),
-      lateCallsOutliveProcess,
-      createError: (kind, message) => new RunnerError(RunnerErrorKind[kind], message),
-    });
-  }
-
-  private behaviourOf(command: StartCommand): TaskBehaviour {
-    const step = this.stepOf(command.task);
-    return {
-      size: step.size,
-      ...(step.isGang ? { gangSize: step.count } : {}),
-      durationMs: this.options.durationMs ?? 1_000,
-      stopMs: 300,
-      savesProgress: step.savesProgress,
-      ...this.options.behave?.(command),
-    };
-  }
-
-  private trace(runnerId: string, subject: string, text: string): void {
-    this.traceLines.push({ runnerId, text: `${this.now} ${subject} ${text}` });
-  }
-
-  /** What is known of the violations that name a task: all that concerns it and its runners. */
-  public explain(violations: readonly string[]): string[] {
-    const tasks = violations.map((text) => text.split(':')[0] ?? '').filter((task) => task !== '');
-    const records = this.pool.records.filter(({ task }) => tasks.includes(task));
-    const runnerIds = new Set(records.map(({ runnerId }) => runnerId));
-    const isRelated = ({ runnerId, text }: TraceLine): boolean =>
-      tasks.some((task) => text.includes(task)) ||
-      (runnerIds.has(runnerId) && !text.includes('"task":'));
-    return [
-      ...records.map((record) => JSON.stringify(record)),
-      ...this.traceLines.filter(isRelated).map(({ text }) => text),
-    ];
-  }
-
-  /** The step of a task. */
-  public stepOf(task: string): Step {
-    const [id = '', , stepIndex] = task.split('.');
-    return this.jobSteps.get(id)?.[Number(stepIndex)] as Step;
-  }
-
-  public [Symbol.dispose](): void {
-    this.current?.[Symbol.dispose]();
-    this.timers.uninstall();
-  }
-}
-
-/** Pairs of runs of one task that overlap in time. */
-function findOverlaps(records: readonly VirtualRunRecord[]): string[] {
-  return records.flatMap((first, index) =>
-    records
-      .slice(index + 1)
-      .filter(
-        ({ task, startedAt, endedAt }) =>
-          task === first.task && startedAt < first.endedAt && first.startedAt < endedAt,
-      )
-      .map(
-        (second) =>
-          `${first.task}: run ${first.run} on ${first.runnerId}, run ${second.run} on ${second.runnerId}`,
-      ),
-  );
-}
-
-/** Collects the starts that exceed the limit of tasks of one step on a runner, or its capacity. */
-function watchRunnerLimits(deployment: VirtualDeployment): string[] {
-  const exceeded: string[] = [];
-  deployment.pool.onStart((runner, { record }) => {
-    const stepName = record.task.slice(0, record.task.lastIndexOf('.') + 1);
-    const { perRunnerLimit = Infinity } = deployment.stepOf(record.task);
-    const present = runner.activeRuns.filter((run) => run.record.task.startsWith(stepName));
-    if (present.length > perRunnerLimit) {
-      exceeded.push(`${record.task}: ${present.length} tasks of its step on ${runner.id}`);
-    }
-    const used = runner.activeRuns.reduce((sum, run) => sum + run.behaviour.size.accelerators, 0);
-    if (used > runner.capacity.accelerators) {
-      exceeded.push(`${record.task}: ${used} accelerators used on ${runner.id}`);
-    }
-  });
-  return exceeded;
-}
+import { readSeeds } from './testing/readSeeds.js';
+import { findOverlaps, watchRunnerLimits } from './testing/runChecks.js';
+import {
+  delivered,
+  isTraced,
+  latencyMs,
+  queue,
+  VirtualDeployment,
+} from './testing/VirtualDeployment.js';
 
 /** Decides the fates of the first start calls in order; all other calls are delivered. */
 function firstStarts(...fates: readonly CallFate[]): (call: VirtualCall) => CallFate {
@@ -760,13 +449,6 @@
 const ciSeeds = [3, 5, 8, 13, 15, 17, 18, 23, 24, 38, 40, 43, 50, 89, 177];
 const seeds = readSeeds(process.env.RUN_SEEDS) ?? ciSeeds;
 
-function readSeeds(range: string | undefined): number[] | undefined {
-  const [from, to] = (range ?? '').split('-').map(Number);
-  return from === undefined || to === undefined
-    ? undefined
-    : Array.from({ length: to - from + 1 }, (_, index) => from + index);
-}
-
 /** Starts of tasks after the acknowledged end of a successful run. */
 function findRestartsAfterDone(records: readonly VirtualRunRecord[]): string[] {
   return records
