Virtual runners crash by their tasks and change their capacity

A virtual task may crash its runner after a time of presence or of work; the runner's process ends with all of its runs, without a report of them, and each run records whether it crashed its runner. A changed capacity shows in the registry entry; only a runner with guard refuses what exceeds it.

--- a/packages/testing/src/VirtualRun.ts
+++ b/packages/testing/src/VirtualRun.ts
@@ -14,6 +14,9 @@
 
   public end: RunEnd = RunEnd.done;
 
+  /** Time at which the run crashes its runner; Infinity if it does not. */
+  public crashesAt: number;
+
   /** Time from which no more work is done; Infinity unless the run is being stopped. */
   private stoppedAt = Infinity;
 
@@ -24,11 +27,14 @@
     public readonly behaviour: TaskBehaviour,
     /** Milliseconds of work that the saved progress contains. */
     private readonly savedMs: number,
-  ) {}
+  ) {
+    this.crashesAt = record.startedAt + (behaviour.crashesAfterMs ?? Infinity);
+  }
 
   public begin(now: number): void {
-    const { durationMs, failsAfterMs } = this.behaviour;
+    const { durationMs, failsAfterMs, crashesAfterWorkMs = Infinity } = this.behaviour;
     this.workStartsAt = now;
+    this.crashesAt = Math.min(this.crashesAt, now + crashesAfterWorkMs);
     this.end = failsAfterMs === undefined ? RunEnd.done : RunEnd.failed;
     this.endsAt = now + (failsAfterMs ?? Math.max(1, durationMs - this.savedMs));
   }
@@ -44,6 +50,8 @@
 
   public stop(now: number): void {
     this.stoppedAt = now;
+    const { crashesAfterMs = Infinity } = this.behaviour;
+    this.crashesAt = this.record.startedAt + crashesAfterMs;
     this.headFor(RunEnd.stopped, now + this.behaviour.stopMs);
   }
 
--- a/packages/testing/src/VirtualRunRecord.ts
+++ b/packages/testing/src/VirtualRunRecord.ts
@@ -9,6 +9,8 @@
   readonly startedAt: number;
   /** Infinity while the run lasts; the time of the crash if its runner crashed. */
   endedAt: number;
+  /** Whether the run crashed its runner. */
+  hasCrashedRunner: boolean;
   /** Undefined while the run lasts, and after a crash of its runner. */
   end: RunEnd | undefined;
   /** Infinity until the end is acknowledged. */
--- a/packages/testing/src/VirtualRunner.test.ts
+++ b/packages/testing/src/VirtualRunner.test.ts
@@ -217,3 +217,88 @@
   t.is(record?.acknowledgedAt, 2_100);
   t.true(record?.hasLapsed);
 });
+
+test('a task crashes its runner, with all runs and without a report of them', (t) => {
+  const { pool, first } = createPool(
+    {},
+    {
+      behaviourOf: ({ task }) =>
+        task.endsWith('.1') ? { ...singleTask, crashesAfterMs: 300 } : singleTask,
+    },
+  );
+  const crashes: string[] = [];
+  pool.onCrash(({ id, processStartedAt }, now) => crashes.push(`${id} ${processStartedAt} ${now}`));
+  first.start(startCommand(1), 1, longDeadline, 0);
+  first.start(startCommand(1, 1), 1, longDeadline, 100);
+  pool.advance(399);
+  t.true(first.isUp);
+  pool.advance(400);
+  t.false(first.isUp);
+  t.deepEqual(crashes, ['r1 1 400']);
+  t.deepEqual(
+    pool.records.map(({ endedAt, end, hasCrashedRunner }) => [endedAt, end, hasCrashedRunner]),
+    [
+      [400, undefined, false],
+      [400, undefined, true],
+    ],
+  );
+  first.restart(2_000, 2_000);
+  t.deepEqual(endsOf(first, 2_000), []);
+  t.is(first.start(startCommand(2, 1), 1, longDeadline, 2_000), StartOutcome.started);
+  pool.advance(2_300);
+  t.false(first.isUp, 'each run of the task crashes its runner');
+});
+
+test('a gang member crashes its runner by presence or by work, and the others break', (t) => {
+  const crashOf = (behaviour: Partial<TaskBehaviour>): (number | undefined)[] => {
+    const { pool, first, second } = createPool(
+      {},
+      {
+        behaviourOf: ({ task }) => ({
+          ...singleTask,
+          gangSize: 2,
+          ...(task.endsWith('.0') ? behaviour : {}),
+        }),
+      },
+    );
+    first.start(startCommand(1, 0), 1, longDeadline, 0);
+    pool.advance(200);
+    second.start(startCommand(1, 1), 1, longDeadline, 200);
+    pool.advance(2_000);
+    t.deepEqual(endsOf(second, 2_000), ['1 1 broken']);
+    return pool.records.map(({ endedAt }) => endedAt);
+  };
+  t.deepEqual(crashOf({ crashesAfterMs: 300 }), [300, 320]);
+  t.deepEqual(crashOf({ crashesAfterWorkMs: 300 }), [500, 520]);
+});
+
+test('a task that is being stopped may crash its runner, but not by work', (t) => {
+  const isUpAfterStop = (behaviour: Partial<TaskBehaviour>): boolean => {
+    const { pool, first } = createPool(behaviour);
+    first.start(startCommand(1), 1, longDeadline, 0);
+    first.stop(startCommand(1), 1, 100);
+    pool.advance(1_000);
+    return first.isUp;
+  };
+  t.false(isUpAfterStop({ crashesAfterMs: 200 }));
+  t.true(isUpAfterStop({ crashesAfterMs: 500 }));
+  t.true(isUpAfterStop({ crashesAfterWorkMs: 200 }));
+});
+
+test('only a runner with guard refuses starts beyond its shrunk capacity', (t) => {
+  const outcomes = [true, false].map((guardsCapacity) => {
+    const { pool, first } = createPool({}, { guardsCapacity });
+    first.start(startCommand(1), 1, longDeadline, 0);
+    first.resize({ ...first.capacity, accelerators: 1 });
+    t.is(first.entry.capacity.accelerators, 1);
+    const beyond = first.start(startCommand(1, 1), 1, longDeadline, 10);
+    pool.advance(20);
+    t.true(first.report(20).running.length > 0, 'what runs goes on');
+    first.resize({ ...first.capacity, accelerators: 2 });
+    return [beyond, first.start(startCommand(1, 2), 1, longDeadline, 30)];
+  });
+  t.deepEqual(outcomes, [
+    [StartOutcome.noCapacity, StartOutcome.started],
+    [StartOutcome.started, StartOutcome.started],
+  ]);
+});
--- a/packages/testing/src/VirtualRunner.ts
+++ b/packages/testing/src/VirtualRunner.ts
@@ -27,6 +27,8 @@
   recordStart(runner: VirtualRunner, run: VirtualRun, now: number): void;
   recordStop(run: VirtualRun): void;
   recordEnd(run: VirtualRun, now: number): void;
+  /** A run crashes the runner, whose runs have not ended yet. */
+  recordCrash(runner: VirtualRunner, now: number): void;
 }
 
 /** Response of a virtual runner to a report call. */
@@ -52,6 +54,7 @@
  * - Acknowledgements that are ahead of the ends listed so far do not apply to later ends (laxer).
  * - A run that is being stopped does no more work; a gang with such a member does not get done.
  * - Progress is saved at a stop only, and restoring it takes no time.
+ * - A run that is being stopped may still crash its runner, but not by work (stricter).
  * - An unhealthy runner refuses starts only; the client refuses other calls (`CallFate`).
  *
  * Not modelled: draining, several copies of a task, pacing, advice and tickets, another runner at
@@ -80,6 +83,8 @@
   /** Highest run that was stopped or ended here, by task. */
   private readonly closedRuns = new Map<string, number>();
 
+  private currentCapacity: Resources;
+
   public isUnhealthy = false;
 
   public constructor(
@@ -89,6 +94,7 @@
   ) {
     this.processStart = options.entry.processStartedAt;
     this.clockOrigin = bornAt;
+    this.currentCapacity = options.entry.capacity;
   }
 
   public get id(): string {
@@ -105,11 +111,17 @@
 
   /** The entry that the runner writes to the registry. */
   public get entry(): ListedRunner {
-    return { ...this.options.entry, processStartedAt: this.processStart };
+    const { processStart, currentCapacity } = this;
+    return { ...this.options.entry, processStartedAt: processStart, capacity: currentCapacity };
   }
 
   public get capacity(): Resources {
-    return this.options.entry.capacity;
+    return this.currentCapacity;
+  }
+
+  /** Changes the capacity; what runs beyond it goes on. */
+  public resize(capacity: Resources): void {
+    this.currentCapacity = capacity;
   }
 
   public get activeRuns(): readonly VirtualRun[] {
@@ -123,7 +135,7 @@
 
   /** Time of the next end of a run or of the lease. */
   public get nextEventAt(): number {
-    const ends = this.activeRuns.map(({ endsAt }) => endsAt);
+    const ends = this.activeRuns.map(({ endsAt, crashesAt }) => Math.min(endsAt, crashesAt));
     return Math.min(this.leaseEndsAt, ...ends);
   }
 
@@ -142,6 +154,14 @@
       });
       this.activeRuns.forEach((run) => this.endRun(run, RunEnd.lapsed, now));
     }
+    const crashing = this.activeRuns.filter(({ crashesAt }) => crashesAt <= now);
+    if (crashing.length > 0) {
+      crashing.forEach(({ record }) => {
+        record.hasCrashedRunner = true;
+      });
+      this.observer.recordCrash(this, now);
+      this.crash(now);
+    }
     this.activeRuns
       .filter((run) => run.endsAt <= now && this.runs.has(keyOf(run)))
       .forEach((run) => this.endRun(run, run.end, now));
@@ -286,6 +306,7 @@
       processStartedAt: this.processStart,
       startedAt: now,
       endedAt: Infinity,
+      hasCrashedRunner: false,
       end: undefined,
       acknowledgedAt: Infinity,
       hasLapsed: false,
--- a/packages/testing/src/VirtualRunnerPool.ts
+++ b/packages/testing/src/VirtualRunnerPool.ts
@@ -22,6 +22,8 @@
 
   private readonly startListeners: ((runner: VirtualRunner, run: VirtualRun) => void)[] = [];
 
+  private readonly crashListeners: ((runner: VirtualRunner, now: number) => void)[] = [];
+
   public constructor(private readonly gangTimeoutMs: number) {}
 
   public add(runner: VirtualRunner): void {
@@ -45,6 +47,11 @@
     this.startListeners.push(listener);
   }
 
+  /** Registers a listener of runners that are being crashed by a run. */
+  public onCrash(listener: (runner: VirtualRunner, now: number) => void): void {
+    this.crashListeners.push(listener);
+  }
+
   public get nextEventAt(): number {
     return Math.min(...this.all.map(({ nextEventAt }) => nextEventAt));
   }
@@ -96,6 +103,10 @@
       .forEach((other) => other.run.headFor(RunEnd.broken, now + brokenNoticeMs));
   }
 
+  public recordCrash(runner: VirtualRunner, now: number): void {
+    this.crashListeners.forEach((listener) => listener(runner, now));
+  }
+
   private otherMembers(run: VirtualRun): GangMember[] {
     return [...(this.gangs.get(run.gangKey) ?? [])].filter((member) => member.run !== run);
   }
