The virtual deployment plays crashes by tasks, capacity changes and lists that cannot be read

A runner that a task has crashed is back under its id after a downtime, with a new start time. A changed capacity may reach the registry later. A second crash before the runner has registered again no longer makes the registry list a start time of 0 for it: its last entry stays until the next process has registered, as the contract has it. A restart of a runner that is down has no effect.

--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -18,9 +18,10 @@
   VirtualRunnerPool,
 } from '@apricothoist/testing';
 import { install } from '@sinonjs/fake-timers';
-import { ok } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 
 import type { CoordinationStore } from '../CoordinationStore.js';
+import { CoordinationError, CoordinationErrorKind } from '../CoordinationStore.js';
 import { StoreKeys } from '../keys.js';
 import type { OperatorConfiguration } from '../OperatorConfiguration.js';
 import { RunnerError, RunnerErrorKind } from '../RunnerClient.js';
@@ -55,6 +56,14 @@
   readonly text: string;
 }
 
+export interface Downtime {
+  readonly downMs: number;
+  /** Milliseconds from the start of the next process to its registry entry. */
+  readonly registeredAfterMs: number;
+}
+
+const defaultDowntime: Downtime = { downMs: 2_500, registeredAfterMs: 0 };
+
 export interface DeploymentOptions {
   readonly runners: number;
   readonly guardsCapacity?: boolean;
@@ -63,6 +72,8 @@
   readonly queue?: Queue;
   readonly durationMs?: number;
   readonly behave?: (command: StartCommand) => Partial<TaskBehaviour>;
+  /** How long a runner is down that a task has crashed. */
+  readonly drawDowntime?: () => Downtime;
   /** Puts faults between the scheduling instance and its store. */
   readonly wrapStore?: (store: CoordinationStore) => CoordinationStore;
 }
@@ -83,10 +94,16 @@
   /** Registry entries of incarnations that have ended, until the next one has registered. */
   private readonly staleEntries = new Map<string, ListedRunner>();
 
+  /** Capacities by runner that the registry still shows after a change. */
+  private readonly staleCapacities = new Map<string, Resources>();
+
   public readonly unlistedRunners = new Set<string>();
 
   public readonly drainingRunners = new Set<string>();
 
+  /** Whether reads of the registry fail. */
+  public isRegistryUnreadable = false;
+
   /** Milliseconds by which the wall clock is ahead. */
   public wallOffsetMs = 0;
 
@@ -118,6 +135,11 @@
         ),
       );
     }
+    this.pool.onCrash((runner, crashedAt) => {
+      const downtime = (options.drawDowntime ?? ((): Downtime => defaultDowntime))();
+      this.trace(runner.id, runner.id, `crashed by a task at ${crashedAt}`);
+      this.bringBack(runner, crashedAt, downtime);
+    });
   }
 
   public get now(): number {
@@ -159,6 +181,12 @@
     this.current.start();
   }
 
+  /** Ends the present term; nothing is scheduled until the next one. */
+  public endTerm(): void {
+    this.current?.[Symbol.dispose]();
+    this.current = undefined;
+  }
+
   private createServices(token: number): SchedulingServices {
     const steadyClock: Clock = {
       monotonic: () => this.now,
@@ -170,7 +198,9 @@
       registry: {
         list: async () => {
           await delay(this.store.callMs);
-          return ok(this.listRunners());
+          return this.isRegistryUnreadable
+            ? err(new CoordinationError(CoordinationErrorKind.unanswered, 'no response'))
+            : ok(this.listRunners());
         },
       },
       runners: this.createClient(clock),
@@ -210,8 +240,16 @@
 
   /** Advances virtual time until all jobs have completed; false if they do not within the limit. */
   public async runUntilCompleted(limitMs: number): Promise<boolean> {
+    return this.runUntil(
+      () => [...this.jobSteps.keys()].every((id) => this.stateOf(id) === JobState.completed),
+      limitMs,
+    );
+  }
+
+  /** Advances virtual time until a condition holds; false if it does not within the limit. */
+  public async runUntil(holds: () => boolean, limitMs: number): Promise<boolean> {
     const end = this.now + limitMs;
-    while ([...this.jobSteps.keys()].some((id) => this.stateOf(id) !== JobState.completed)) {
+    while (!holds()) {
       if (this.now >= end) {
         return false;
       }
@@ -223,23 +261,58 @@
   /** Crashes a runner and starts it again under its id, `downMs` later. */
   public restart(runnerId: string, downMs: number, registeredAfterMs = 0): void {
     const runner = this.pool.get(runnerId);
-    const { entry } = runner;
     this.pool.advance(this.now);
-    runner.crash(this.now);
+    if (!runner.isUp) {
+      return;
+    }
     this.trace(
       runnerId,
       runnerId,
       `crashed for ${downMs} ms, then registered ${registeredAfterMs} ms later`,
     );
-    this.staleEntries.set(runnerId, entry);
-    setTimeout(() => runner.restart(this.now, this.now), downMs);
-    setTimeout(() => this.staleEntries.delete(runnerId), downMs + registeredAfterMs);
+    this.bringBack(runner, this.now, { downMs, registeredAfterMs });
+    runner.crash(this.now);
+  }
+
+  // The registry keeps the entry of a crashed process until the next one has registered.
+  private bringBack(
+    runner: VirtualRunner,
+    crashedAt: number,
+    { downMs, registeredAfterMs }: Downtime,
+  ): void {
+    const { id, entry } = runner;
+    const backAt = crashedAt + downMs;
+    this.staleEntries.set(id, entry);
+    setTimeout(() => runner.restart(this.now, this.now), backAt - this.now);
+    setTimeout(
+      () => {
+        if (this.staleEntries.get(id) === entry) {
+          this.staleEntries.delete(id);
+        }
+      },
+      backAt + registeredAfterMs - this.now,
+    );
+  }
+
+  /** Changes the capacity of a runner, which the registry shows `listedAfterMs` later. */
+  public resize(runnerId: string, capacity: Resources, listedAfterMs = 0): void {
+    const runner = this.pool.get(runnerId);
+    const stale = this.staleCapacities.get(runnerId) ?? runner.capacity;
+    this.pool.advance(this.now);
+    runner.resize(capacity);
+    this.trace(runnerId, runnerId, `resized to ${JSON.stringify(capacity)}`);
+    this.staleCapacities.set(runnerId, stale);
+    setTimeout(() => this.staleCapacities.delete(runnerId), listedAfterMs);
   }
 
   private listRunners(): ListedRunner[] {
     return this.pool.all
       .filter(({ id }) => !this.unlistedRunners.has(id))
-      .map(({ id, entry }) => this.staleEntries.get(id) ?? entry)
+      .map(({ id, entry }) => ({
+        ...entry,
+        capacity: this.staleCapacities.get(id) ?? entry.capacity,
+      }))
+      .map((entry) => this.staleEntries.get(entry.id) ?? entry)
       .map((entry) => ({ ...entry, isDraining: this.drainingRunners.has(entry.id) }));
   }
 
