Add failing tests: tasks that crash their runners, and capacity that shrinks

Nothing counts crashes: a run that ends with its runner costs no attempt and is queued again without end, so its job never ends, and the jobs beside it lose their runs with the runners. An instance whose reads of the registry fail goes on by the last list.

The client of the virtual runners processes a crash that comes before the answer of a call, so that such an answer is lost.

--- a/packages/instance/src/testing/runChecks.ts
+++ b/packages/instance/src/testing/runChecks.ts
@@ -35,3 +35,32 @@
   });
   return exceeded;
 }
+
+/** Crashes after which the starts of a task are counted, and the starts that are allowed then. */
+const crashesBeforeCount = 3;
+const startsAfterCrashes = 2;
+
+/**
+ * Starts of tasks that have crashed three runners, beyond those that are allowed.
+ *
+ * @param lateStarts starts that are carried out late, which do not count, by `task#run`
+ */
+export function findExcessStarts(
+  records: readonly VirtualRunRecord[],
+  lateStarts: ReadonlyMap<string, number> = new Map(),
+): string[] {
+  const tasks = new Set(
+    records.filter(({ hasCrashedRunner }) => hasCrashedRunner).map(({ task }) => task),
+  );
+  return [...tasks].flatMap((task) => {
+    const runs = records.filter((record) => record.task === task);
+    const crash = runs.filter(({ hasCrashedRunner }) => hasCrashedRunner)[crashesBeforeCount - 1];
+    const starts = runs.filter(
+      ({ run, startedAt }) =>
+        crash !== undefined && startedAt >= crash.endedAt && !lateStarts.has(`${task}#${run}`),
+    );
+    return starts.length > startsAfterCrashes
+      ? [`${task}: started ${starts.length} times after it had crashed three runners`]
+      : [];
+  });
+}
--- a/packages/testing/src/VirtualRunner.ts
+++ b/packages/testing/src/VirtualRunner.ts
@@ -29,6 +29,8 @@
   recordEnd(run: VirtualRun, now: number): void;
   /** A run crashes the runner, whose runs have not ended yet. */
   recordCrash(runner: VirtualRunner, now: number): void;
+  /** The capacity of a runner is about to change. */
+  recordResize(runner: VirtualRunner): void;
 }
 
 /** Response of a virtual runner to a report call. */
@@ -121,6 +123,7 @@
 
   /** Changes the capacity; what runs beyond it goes on. */
   public resize(capacity: Resources): void {
+    this.observer.recordResize(this);
     this.currentCapacity = capacity;
   }
 
--- a/packages/testing/src/VirtualRunnerClient.test.ts
+++ b/packages/testing/src/VirtualRunnerClient.test.ts
@@ -6,6 +6,7 @@
 import type { CallFate } from './CallFate.js';
 import { listedRunner } from './DispatchFixture.js';
 import { plainStep } from './ReplaySimulation.js';
+import type { TaskBehaviour } from './TaskBehaviour.js';
 import { VirtualRunner } from './VirtualRunner.js';
 import type { VirtualRunnerClientOptions } from './VirtualRunnerClient.js';
 import { VirtualRunnerClient } from './VirtualRunnerClient.js';
@@ -32,6 +33,7 @@
     now: () => number,
   ) => Promise<T>,
   options: Partial<VirtualRunnerClientOptions<string>> = {},
+  behaviour: Partial<TaskBehaviour> = {},
 ): Promise<{ result: T; startedAt: number[] }> {
   const timers = install({ now: 0, toFake: ['setTimeout', 'clearTimeout'] });
   const now = (): number => timers.now;
@@ -47,6 +49,7 @@
         durationMs: 60_000,
         stopMs: 10,
         savesProgress: false,
+        ...behaviour,
       }),
     },
     pool,
@@ -107,6 +110,16 @@
   t.deepEqual(played, { result: [StartOutcome.unknown, 250], startedAt: [3] });
 });
 
+test.serial('a start whose runner crashes before its answer is not answered', async (t) => {
+  const played = await play(
+    [delivered, { kind: 'delivered', latencyMs: 3 }],
+    async (client, _runner, now) => startAfterReport(client, now),
+    {},
+    { crashesAfterMs: 1 },
+  );
+  t.deepEqual(played, { result: [StartOutcome.unknown, 250], startedAt: [5] });
+});
+
 test.serial('a late call is executed after its caller has given up', async (t) => {
   const played = await play(
     [delivered, { kind: 'late', lateMs: 3_000 }],
--- a/packages/testing/src/VirtualRunnerClient.ts
+++ b/packages/testing/src/VirtualRunnerClient.ts
@@ -187,6 +187,7 @@
       }
       const clock = target.clock(this.options.now());
       await delay(fate.latencyMs);
+      this.pool.advance(this.options.now());
       const isLost =
         answer === undefined ||
         fate.kind === 'answerLost' ||
--- a/packages/testing/src/VirtualRunnerPool.ts
+++ b/packages/testing/src/VirtualRunnerPool.ts
@@ -22,6 +22,8 @@
 
   private readonly startListeners: ((runner: VirtualRunner, run: VirtualRun) => void)[] = [];
 
+  private readonly resizeListeners: ((runner: VirtualRunner) => void)[] = [];
+
   private readonly crashListeners: ((runner: VirtualRunner, now: number) => void)[] = [];
 
   public constructor(private readonly gangTimeoutMs: number) {}
@@ -52,6 +54,11 @@
     this.crashListeners.push(listener);
   }
 
+  /** Registers a listener of runners whose capacity is about to change. */
+  public onResize(listener: (runner: VirtualRunner) => void): void {
+    this.resizeListeners.push(listener);
+  }
+
   public get nextEventAt(): number {
     return Math.min(...this.all.map(({ nextEventAt }) => nextEventAt));
   }
@@ -107,6 +114,10 @@
     this.crashListeners.forEach((listener) => listener(runner, now));
   }
 
+  public recordResize(runner: VirtualRunner): void {
+    this.resizeListeners.forEach((listener) => listener(runner));
+  }
+
   private otherMembers(run: VirtualRun): GangMember[] {
     return [...(this.gangs.get(run.gangKey) ?? [])].filter((member) => member.run !== run);
   }
