Add a failing test: a task starts on a runner that is over its shrunk capacity

The room for a task is judged only by the resources that it needs, so a task without accelerators starts on a runner whose accelerators are exceeded since a shrink, and the start leaves the runner over its capacity.

--- a/packages/instance/src/crashingTasks.test.ts
+++ b/packages/instance/src/crashingTasks.test.ts
@@ -336,6 +336,24 @@
   t.deepEqual(watch.exceeded, []);
 });
 
+// The start of a task that needs none of the exceeded resource leaves the runner over its capacity.
+test.serial('no task starts on a runner that is over its shrunk capacity', async (t) => {
+  using deployment = new VirtualDeployment({
+    runners: 1,
+    guardsCapacity: false,
+    durationMs: 12_000,
+  });
+  const watch = new CapacityWatch(deployment);
+  deployment.submit(innocentId(1), [{ count: 8 }]);
+  deployment.takeOver();
+  await deployment.run(2_000);
+  deployment.resize('r1', capacityOf(4));
+  await deployment.run(6_000);
+  deployment.submit(innocentId(2), [{ size: { cpu: 1_000, memoryMb: 1_000, accelerators: 0 } }]);
+  t.true(await deployment.runUntilCompleted(60_000));
+  t.deepEqual(watch.exceeded, []);
+});
+
 // The registry shows the new capacity one heartbeat later.
 test.serial('capacity that grows again is used within seconds', async (t) => {
   using deployment = new VirtualDeployment({ runners: 2, durationMs: 4_000 });
@@ -374,13 +392,17 @@
   unreadable: [300, 4_000],
 } as const;
 
-/** Draws jobs, of which some crash their runners, and faults; returns what broke the rules. */
-async function playCrashes(seed: number, log: (line: string) => void): Promise<string[]> {
+/** Draws jobs, of which a share crash their runners, and faults; returns what broke the rules. */
+async function playFaults(
+  seed: number,
+  deadlyShares: readonly number[],
+  log: (line: string) => void,
+): Promise<string[]> {
   const random = new Random(seed);
   const between = ([min, max]: Period): number => min + random.below(max - min);
   const callRates = { dropped: 0.03, answerLost: 0.03, late: 0.02, refused: 0.03 };
   const fates = new RandomCallFates(random, callRates);
-  const deadlyShare = random.pick([0.1, 0.25, 0.4]);
+  const deadlyShare = random.pick(deadlyShares);
   const behaviours = new Map<string, Partial<TaskBehaviour>>();
   const lateStarts = new Map<string, number>();
   using deployment = new VirtualDeployment({
@@ -475,15 +497,24 @@
   return broken;
 }
 
-// Crashes beside cuts, restarts, takeovers, lost calls and changing capacities.
-test.serial(
-  'crashing tasks and changing capacities break no rule under random faults',
-  async (t) => {
+interface FaultPlay {
+  readonly title: string;
+  readonly deadlyShares: readonly number[];
+}
+
+const faultPlays: readonly FaultPlay[] = [
+  { title: 'changing capacities', deadlyShares: [0] },
+  { title: 'crashing tasks and changing capacities', deadlyShares: [0.1, 0.25, 0.4] },
+];
+
+// Beside cuts, restarts, takeovers, lost calls and reads of the registry that fail.
+faultPlays.forEach(({ title, deadlyShares }) => {
+  test.serial(`${title} break no rule under random faults`, async (t) => {
     const violations: string[] = [];
     for (const seed of seeds) {
-      const broken = await playCrashes(seed, (line) => t.log(line));
+      const broken = await playFaults(seed, deadlyShares, (line) => t.log(line));
       violations.push(...broken.map((text) => `seed ${seed}: ${text}`));
     }
     t.deepEqual(violations, []);
-  },
-);
+  });
+});
