--- a/packages/soak/src/JobClients.ts
+++ b/packages/soak/src/JobClients.ts
@@ -12,6 +12,8 @@
   /** Whether every attempt to submit it was refused. */
   isRefused: boolean;
   isCancelled: boolean;
+  /** Whether its tasks crash the runners that start them. */
+  readonly crashesRunners: boolean;
 }
 
 const maxSubmitAttempts = 4;
@@ -36,6 +38,8 @@
   public constructor(
     private readonly deployment: TestDeployment,
     private readonly random: Random,
+    /** Share of the jobs whose tasks crash their runners. */
+    private readonly crashingShare = 0,
   ) {}
 
   public start(count: number): void {
@@ -60,18 +64,26 @@
     const number = (this.jobs.length + 1).toString(16);
     const id = `${index.toString(16)}f${number.padStart(idDigits, '0')}`;
     const tasks = 1 + this.random.below(4);
-    const job = { id, tasks, isAccepted: false, isRefused: false, isCancelled: false };
-    this.jobs.push(job);
     const durationMs = 50 + this.random.below(1_500);
     const gang = this.random.fraction() < 0.5;
     const mayCancel = this.random.fraction() < 0.1;
+    const crashesRunners = this.crashingShare > 0 && this.random.fraction() < this.crashingShare;
+    const crashesAfterMs = crashesRunners ? 1 + this.random.below(durationMs) : undefined;
+    const job: ClientJob = {
+      id,
+      tasks,
+      isAccepted: false,
+      isRefused: false,
+      isCancelled: false,
+      crashesRunners,
+    };
+    this.jobs.push(job);
     let refusals = 0;
     for (let attempt = 0; attempt < maxSubmitAttempts && !job.isAccepted; attempt += 1) {
       const instance = this.random.pick(this.deployment.instances);
-      const response = await this.deployment.submit(instance, id, durationMs, {
-        count: tasks,
-        gang,
-      });
+      const phase = { count: tasks, gang };
+      const { deployment } = this;
+      const response = await deployment.submit(instance, id, durationMs, phase, crashesAfterMs);
       job.isAccepted = response.status === okStatus;
       refusals += refusedStatuses.includes(response.status) ? 1 : 0;
       await delay(job.isAccepted ? 0 : 200);
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -16,6 +16,11 @@
  */
 export type Fault = (context: FaultContext) => Promise<void>;
 
+/** Accelerators of a runner at first. */
+export const runnerCapacity = 8;
+/** Milliseconds between two registry entries of a runner. */
+const heartbeatMs = 1_500;
+
 function randomInstance({ deployment, random }: FaultContext): InstanceProcess {
   return random.pick(deployment.instances);
 }
@@ -121,6 +126,17 @@
   return Object.fromEntries(Object.values(RunnerCall).map((call) => [call, shares]));
 }
 
+/** Changes of what a runner can hold, which the registry shows up to a heartbeat later. */
+export const capacityFaults: Readonly<Record<string, Fault>> = {
+  resizeRunner: async ({ deployment, random }) => {
+    const runner = random.pick(deployment.runners);
+    runner.resize(random.below(1 + runnerCapacity));
+    await delay(random.below(heartbeatMs));
+    runner.register(deployment.store, 'ready');
+    await delay(random.below(4_000));
+  },
+};
+
 /** Faults of single calls to runners, and a restart that the registry shows late. */
 export const callFaults: Readonly<Record<string, Fault>> = {
   lateStarts: (context) => disruptCalls(context, { [RunnerCall.start]: { late: 0.5 } }),
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -33,6 +33,16 @@
     default: true,
     describe: 'also inject faults of calls to runners; --no-calls runs a seed as before them',
   })
+  .option('crashes', {
+    type: 'boolean',
+    default: false,
+    describe: 'also play tasks that crash their runners',
+  })
+  .option('capacity', {
+    type: 'boolean',
+    default: false,
+    describe: 'also change the capacity of runners; those of odd seeds do not guard it',
+  })
   .option('logs', { type: 'string', default: '.', describe: 'directory for logs of failed seeds' })
   .option('jobs', { type: 'number', default: 3, describe: 'seeds that run concurrently' })
   .strict()
@@ -44,10 +54,20 @@
 
 // A seed whose run throws counts as failed and does not abort the other seeds.
 async function runSeedOrReport(seed: number): Promise<SoakResult> {
-  const { instances, runners, clients, seconds, calls: disruptsCalls } = options;
+  const { instances, runners, clients, seconds } = options;
+  const { calls: disruptsCalls, crashes: crashesRunners, capacity: changesCapacity } = options;
   const faultMs = seconds * 1_000;
   try {
-    return await runSeed({ seed, instances, runners, clients, faultMs, disruptsCalls });
+    return await runSeed({
+      seed,
+      instances,
+      runners,
+      clients,
+      faultMs,
+      disruptsCalls,
+      crashesRunners,
+      changesCapacity,
+    });
   } catch (error) {
     const violations = [`run aborted: ${messageOf(error)}`];
     return { seed, faults: [], jobs: 0, accepted: 0, violations, logs: '' };
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -3,7 +3,7 @@
 import { TestDeployment, StoreMode } from '@apricothoist/site/testing';
 
 import type { Fault } from './faults.js';
-import { callFaults, faults } from './faults.js';
+import { callFaults, capacityFaults, faults, runnerCapacity } from './faults.js';
 import { JobClients } from './JobClients.js';
 
 export interface SoakOptions {
@@ -15,6 +15,10 @@
   readonly faultMs: number;
   /** Whether further series of faults befall calls to runners. */
   readonly disruptsCalls: boolean;
+  /** Whether some tasks crash their runners. */
+  readonly crashesRunners: boolean;
+  /** Whether the capacities of runners change. */
+  readonly changesCapacity: boolean;
 }
 
 export interface SoakResult {
@@ -31,11 +35,15 @@
 const concurrentFaultSeries = 2;
 /** Number of further series, of faults of calls to runners. */
 const concurrentCallFaultSeries = 2;
+/** Share of the jobs whose tasks crash their runners. */
+const crashingShare = 0.15;
 /** Interval at which exited processes are restarted, as the platform does, in milliseconds. */
 const restartIntervalMs = 200;
 /** Milliseconds within which every accepted job has to end once no fault is active any more. */
 const settleTimeoutMs = 30_000;
 const maxAttempts = 3;
+/** Crashes of runners after which a task may be given up. */
+const minCrashes = 2;
 /** Longest lease in milliseconds on a runner with a slow clock. */
 const leaseMs = 6_200;
 
@@ -43,9 +51,17 @@
 export async function runSeed(options: SoakOptions): Promise<SoakResult> {
   const random = new Random(options.seed);
   const storeRandom = new Random(options.seed + 1);
-  await using deployment = new TestDeployment(() => storeRandom.fraction());
+  await using deployment = new TestDeployment(
+    () => storeRandom.fraction(),
+    // Every second seed plays runners that do not guard their capacity.
+    !options.changesCapacity || options.seed % 2 === 0,
+  );
   await deployment.start(options.instances, options.runners);
-  const clients = new JobClients(deployment, new Random(options.seed + 2));
+  const clients = new JobClients(
+    deployment,
+    new Random(options.seed + 2),
+    options.crashesRunners ? crashingShare : 0,
+  );
   clients.start(options.clients);
   const supervisor = setInterval(
     () => deployment.instances.forEach((instance) => instance.start()),
@@ -65,12 +81,21 @@
     }
   };
   const callRandom = new Random(options.seed + 3);
+  const capacityRandom = new Random(options.seed + 4);
+  const capacitySeries = options.changesCapacity ? 1 : 0;
   const callSeries = options.disruptsCalls ? concurrentCallFaultSeries : 0;
   await Promise.all([
     ...Array.from({ length: concurrentFaultSeries }, () => injectFaults(faults, random)),
     ...Array.from({ length: callSeries }, () => injectFaults(callFaults, callRandom)),
+    ...Array.from({ length: capacitySeries }, () => injectFaults(capacityFaults, capacityRandom)),
   ]);
   deployment.store.mode = StoreMode.up;
+  if (options.changesCapacity) {
+    deployment.runners.forEach((runner) => {
+      runner.resize(runnerCapacity);
+      runner.register(deployment.store, 'ready');
+    });
+  }
   await clients.stop();
   await waitForLateCalls(deployment);
   const violations = [...clients.violations, ...(await checkReadiness(deployment))];
@@ -129,8 +154,10 @@
     const remainingMs = Math.max(0, endBy - Date.now());
     const state = await deployment.waitForState(instance, job.id, finalStates, remainingMs);
     const failed = runs.filter(({ outcome }) => outcome === 'failed').length;
+    const crashes = runs.filter(({ hasCrashedRunner }) => hasCrashedRunner).length;
     const isLegitimateEnd =
-      (state === 'failed' && failed >= maxAttempts) || (state === 'cancelled' && job.isCancelled);
+      (state === 'failed' && (failed >= maxAttempts || crashes >= minCrashes)) ||
+      (state === 'cancelled' && job.isCancelled);
     if (state !== 'completed' && !isLegitimateEnd) {
       violations.push(`${job.id}: job was accepted but its final state is ${state}`);
     }
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -2,8 +2,9 @@
 
 import { runSeed } from './runSeed.js';
 
-const shortRun = { instances: 3, runners: 4, clients: 4, faultMs: 6_000, disruptsCalls: false };
-const defaultRun = { instances: 4, runners: 6, clients: 6, faultMs: 12_000, disruptsCalls: false };
+const fewFaults = { disruptsCalls: false, crashesRunners: false, changesCapacity: false };
+const shortRun = { instances: 3, runners: 4, clients: 4, faultMs: 6_000, ...fewFaults };
+const defaultRun = { instances: 4, runners: 6, clients: 6, faultMs: 12_000, ...fewFaults };
 
 /** Seeds that are run with the short options. */
 const seeds = [1, 2];
