A task that crashes its runners is given up

Cause: a run that ends with its runner costs no attempt and is queued again, and nothing counts crashes.

--- a/packages/dispatch/src/CapacityLedger.ts
+++ b/packages/dispatch/src/CapacityLedger.ts
@@ -1,6 +1,6 @@
 import type { Runner } from './Runner.js';
 import type { Resources } from './Resources.js';
-import { countFitting, multiply, subtract } from './Resources.js';
+import { countFitting, multiply, noResources, subtract } from './Resources.js';
 import type { TaskGroup } from './TaskGroup.js';
 
 /** Number of members by runner id. */
@@ -54,6 +54,15 @@
     return this.totalFreeAccelerators;
   }
 
+  /** Keeps a runner out of the rest of the round. */
+  public close(runnerId: string): void {
+    const capacity = this.byRunner.get(runnerId);
+    if (capacity !== undefined) {
+      this.totalFreeAccelerators -= Math.max(0, capacity.free.accelerators);
+      capacity.free = noResources;
+    }
+  }
+
   public allocate(group: TaskGroup, placement: Placement): void {
     placement.forEach((count, runnerId) => {
       const capacity = this.byRunner.get(runnerId);
--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -33,6 +33,10 @@
  * requirement allows three seconds.
  */
 const maxIdleWaitMs = 1_500;
+/** Milliseconds for which a task group that may crash its runners waits for empty ones. */
+const maxIsolationWaitMs = 1_000;
+/** The same for one of which only few more starts are allowed. */
+const maxLimitedWaitMs = 15_000;
 /** Factor on the work that a guaranteed job may destroy while it is in time: see maxLostWork. */
 const guaranteedLossFactor = 5;
 /** Value of a late job relative to one in time, as the service requirements weight them. */
@@ -77,7 +81,9 @@
       0,
     );
     this.startReserved();
-    this.ledger = new CapacityLedger(this.usableRunners);
+    this.ledger = new CapacityLedger(
+      this.usableRunners.filter(({ closedUntil }) => closedUntil <= now),
+    );
     this.placementSearch = new PlacementSearch(this.ledger);
     this.guaranteedJobs = coveredJobs(state.openJobs, state.accounts);
     const maxHeadroom = this.totalAccelerators * state.policy.headroomShare;
@@ -136,12 +142,15 @@
     if (!rank.isUrgent && !isOverdue && !this.leavesHeadroom(group, rank)) {
       return false;
     }
-    const placement = this.placementSearch.find(
-      group,
-      isOverdue || !this.couldFitPreferredRack(group),
-    );
+    const mayLeaveRack = isOverdue || !this.couldFitPreferredRack(group);
+    const placement = group.isSuspect
+      ? this.findForSuspect(group, mayLeaveRack)
+      : this.placementSearch.find(group, mayLeaveRack);
     if (placement !== undefined) {
       this.ledger.allocate(group, placement);
+      if (group.isSuspect) {
+        placement.forEach((_count, runnerId) => this.ledger.close(runnerId));
+      }
       this.lifecycle.requestStart(group, placement, this.now);
       return true;
     }
@@ -150,6 +159,15 @@
     return mayReclaim && this.reclaim(group, rank);
   }
 
+  private findForSuspect(group: TaskGroup, mayLeaveRack: boolean): Placement | undefined {
+    const placement = this.placementSearch.findEmpty(group, mayLeaveRack);
+    const maxWaitMs = group.isLimited ? maxLimitedWaitMs : maxIsolationWaitMs;
+    const mayShare = this.now - group.requeuedAt > maxWaitMs;
+    return placement === undefined && mayShare
+      ? this.placementSearch.find(group, mayLeaveRack)
+      : placement;
+  }
+
   // While the service is mostly idle, a task group does not keep waiting for its preferred rack or
   // for the sake of urgent jobs that have not arrived yet.
   private isOverdue(group: TaskGroup): boolean {
@@ -218,7 +236,7 @@
   // Guaranteed jobs may preempt every job without a guarantee; other urgent jobs only preempt
   // queues of lower priority.
   private mayPreempt(victim: TaskGroup, rank: JobRank): boolean {
-    if (victim.step.isLasting || victim.phase === TaskGroupPhase.stopping) {
+    if (victim.step.isLasting || victim.isLimited || victim.phase === TaskGroupPhase.stopping) {
       return false;
     }
     const { job } = victim;
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -51,6 +51,8 @@
   | 'runnerDraining'
   | 'runnerUnlisted'
   | 'runnerRestarted'
+  | 'runnerCrashed'
+  | 'crashRetracted'
   | 'reportOutdated'
   | 'runnerQuarantined'
   | 'runnerLeasesExpired'
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -21,6 +21,7 @@
 import type { ListedRunner, Runner } from './Runner.js';
 import { extendLease, occupantKey } from './Runner.js';
 import type { RunCounters } from './RunCounters.js';
+import { RunnerCrashes } from './RunnerCrashes.js';
 import { RunnerListing } from './RunnerListing.js';
 import { StartOutcome } from './StartOutcome.js';
 import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
@@ -61,6 +62,8 @@
 
   private readonly lifecycle: TaskGroupLifecycle;
 
+  private readonly crashes: RunnerCrashes;
+
   private readonly reportHandler: ReportHandler;
 
   private readonly listing: RunnerListing;
@@ -86,9 +89,10 @@
   ) {
     this.state = new DispatchState(bounds, log, policy, counters);
     this.lifecycle = new TaskGroupLifecycle(this.state);
-    this.reportHandler = new ReportHandler(this.state, this.lifecycle);
+    this.crashes = new RunnerCrashes(this.state);
+    this.reportHandler = new ReportHandler(this.state, this.lifecycle, this.crashes);
     this.listing = new RunnerListing(this.state, this.reportHandler);
-    this.progressRestorer = new ProgressRestorer(this.state, this.lifecycle);
+    this.progressRestorer = new ProgressRestorer(this.state, this.lifecycle, this.crashes);
   }
 
   /** Applies the queues and accounts of a newer configuration. */
@@ -176,9 +180,12 @@
   }
 
   /** Records that the runner did not respond to a call. */
-  public recordUnansweredCall(runnerId: string): void {
+  public recordUnansweredCall(runnerId: string, now: number): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
+      if (runner.unansweredCalls === 0) {
+        this.crashes.recordLoss(runner, now);
+      }
       runner.unansweredCalls += 1;
     }
   }
--- a/packages/dispatch/src/PlacementSearch.ts
+++ b/packages/dispatch/src/PlacementSearch.ts
@@ -23,29 +23,45 @@
    *   over several racks, which slows them down
    */
   public find(group: TaskGroup, mayLeaveRack: boolean): Placement | undefined {
+    return this.findAmong(group, mayLeaveRack, () => true);
+  }
+
+  /** Finds capacity on runners without other tasks, for a task group that may crash its runners. */
+  public findEmpty(group: TaskGroup, mayLeaveRack: boolean): Placement | undefined {
+    return this.findAmong(group, mayLeaveRack, ({ runner }) => runner.isEmpty);
+  }
+
+  private findAmong(
+    group: TaskGroup,
+    mayLeaveRack: boolean,
+    isAllowed: (capacity: RunnerCapacity) => boolean,
+  ): Placement | undefined {
     const { dataRack, prefersOneRack } = group.step;
     if (dataRack !== undefined) {
-      const local = findWithin(group, this.ledger.byRack.get(dataRack) ?? []);
+      const local = findWithin(group, (this.ledger.byRack.get(dataRack) ?? []).filter(isAllowed));
       if (local !== undefined || !mayLeaveRack) {
         return local;
       }
     }
     if (prefersOneRack && group.members.length > 1) {
-      const packed = this.findInOneRack(group);
+      const packed = this.findInOneRack(group, isAllowed);
       if (packed !== undefined || !mayLeaveRack) {
         return packed;
       }
     }
-    return findWithin(group, this.ledger.all);
+    return findWithin(group, this.ledger.all.filter(isAllowed));
   }
 
-  private findInOneRack(group: TaskGroup): Placement | undefined {
+  private findInOneRack(
+    group: TaskGroup,
+    isAllowed: (capacity: RunnerCapacity) => boolean,
+  ): Placement | undefined {
     const isUrgent = group.job.queue.priority === 0;
     let best: Placement | undefined;
     let lowestSlowRank = Infinity;
     let leastRemaining = Infinity;
     this.ledger.byRack.forEach((capacities) => {
-      const placement = findWithin(group, capacities);
+      const placement = findWithin(group, capacities.filter(isAllowed));
       if (placement === undefined) {
         return;
       }
@@ -84,7 +100,7 @@
   group: TaskGroup,
   capacities: readonly RunnerCapacity[],
 ): Placement | undefined {
-  const isUrgent = group.job.queue.priority === 0;
+  const compareForClass = group.job.queue.priority === 0 ? compareForUrgent : compareForOthers;
   const candidates = capacities
     .filter(({ runner }) => isEligible(group, runner))
     .map((capacity) => ({
@@ -92,7 +108,7 @@
       fitting: countFittingMembers(group, capacity.runner, capacity.free),
     }))
     .filter(({ fitting }) => fitting > 0)
-    .sort(isUrgent ? compareForUrgent : compareForOthers);
+    .sort(group.isSuspect ? compareForSuspect : compareForClass);
   const placement = new Map<string, number>();
   let missing = group.members.length;
   for (const { capacity, fitting } of candidates) {
@@ -106,6 +122,14 @@
   return undefined;
 }
 
+// A crash ends everything on the runner.
+function compareForSuspect(left: Candidate, right: Candidate): number {
+  return (
+    left.capacity.runner.occupants.size - right.capacity.runner.occupants.size ||
+    compareForOthers(left, right)
+  );
+}
+
 // Urgent task groups prefer fast runners because their objectives are tight; all others prefer slow
 // runners and leave the fast ones to urgent work.
 function compareForUrgent(left: Candidate, right: Candidate): number {
--- a/packages/dispatch/src/ProgressRecord.ts
+++ b/packages/dispatch/src/ProgressRecord.ts
@@ -1,3 +1,4 @@
+import type { CrashRecord } from './CrashHistory.js';
 import type { JobRun } from './JobRun.js';
 import type { JobState } from './Job.js';
 import type { TaskGroup } from './TaskGroup.js';
@@ -10,6 +11,10 @@
   failures: number,
   saved: string,
   runnerIds: readonly (string | null)[],
+  /** Incarnations of these runners; absent in records of earlier versions. */
+  processStarts?: readonly (number | null)[],
+  /** Crashes by index of the member. */
+  crashes?: readonly (readonly [index: number, record: CrashRecord])[],
 ];
 
 /** Stored progress of a job, kept separately from the job itself. */
@@ -49,10 +54,20 @@
 }
 
 function createGroupRecord(group: TaskGroup): TaskGroupRecord {
-  const runnerIds = group.isActive
-    ? group.members.map((member) =>
-        member.state === MemberState.ended ? null : (member.runnerId ?? null),
-      )
+  const placed = group.isActive
+    ? group.members.map((member) => (member.state === MemberState.ended ? undefined : member))
     : [];
-  return [group.key, group.run, group.failures, group.saved, runnerIds];
+  const crashes = group.members.flatMap(({ index, crashes: history }) => {
+    const record = history.toRecord();
+    return record === undefined ? [] : [[index, record] as const];
+  });
+  return [
+    group.key,
+    group.run,
+    group.failures,
+    group.saved,
+    placed.map((member) => member?.runnerId ?? null),
+    placed.map((member) => (member?.runnerId === undefined ? null : member.processStartedAt)),
+    crashes,
+  ];
 }
--- a/packages/dispatch/src/ProgressRestorer.ts
+++ b/packages/dispatch/src/ProgressRestorer.ts
@@ -1,7 +1,9 @@
+import { CrashHistory } from './CrashHistory.js';
 import type { DispatchState } from './DispatchState.js';
 import type { JobRun } from './JobRun.js';
 import type { StoredProgress } from './ProgressRecord.js';
 import { extendLease, Runner } from './Runner.js';
+import type { RunnerCrashes } from './RunnerCrashes.js';
 import type { TaskGroup } from './TaskGroup.js';
 import { RunHistory } from './RunHistory.js';
 import { MemberState } from './TaskGroup.js';
@@ -13,6 +15,7 @@
   public constructor(
     private readonly state: DispatchState,
     private readonly lifecycle: TaskGroupLifecycle,
+    private readonly crashes: RunnerCrashes,
   ) {}
 
   /** Applies the stored progress of a job. */
@@ -33,13 +36,21 @@
         group.restoreDone();
       }
     });
-    progress.units.forEach(([key, run, failures, saved, runnerIds]) => {
+    progress.units.forEach((record) => {
+      const [key, run, failures, saved, runnerIds, processStarts = [], crashes = []] = record;
       const group = job.groups.get(key);
       if (group !== undefined) {
         group.run = run;
         group.failures = failures;
         group.saved = saved;
-        this.restorePlacement(group, runnerIds, leasesExtendedUntil, now);
+        crashes.forEach(([index, crashRecord]) => {
+          const member = group.members.find((each) => each.index === index);
+          if (member !== undefined) {
+            member.crashes = CrashHistory.restore(crashRecord);
+            this.crashes.register(group, member);
+          }
+        });
+        this.restorePlacement(group, runnerIds, processStarts, leasesExtendedUntil, now);
       }
     });
   }
@@ -49,6 +60,7 @@
   private restorePlacement(
     group: TaskGroup,
     runnerIds: readonly (string | null)[],
+    processStarts: readonly (number | null)[],
     leasesExtendedUntil: number,
     now: number,
   ): void {
@@ -57,14 +69,22 @@
     }
     group.apply('requestStart');
     group.startRequestedAt = now;
+    group.isRestored = true;
     group.members.forEach((member, position) => {
       const runnerId = runnerIds[position] ?? undefined;
       if (runnerId === undefined) {
         member.state = MemberState.ended;
         return;
       }
-      const runner = this.state.runners.get(runnerId) ?? this.addMissingRunner(group, runnerId);
+      const startedAt = processStarts[position] ?? 0;
+      const runner =
+        this.state.runners.get(runnerId) ?? this.addMissingRunner(group, runnerId, startedAt);
       placeMember(group, member, runner, RunHistory.forTakeover(now));
+      // The listing may be older than the incarnation that the run was started on.
+      member.processStartedAt = startedAt === 0 ? member.processStartedAt : startedAt;
+      if (startedAt !== 0 && startedAt < runner.listed.processStartedAt) {
+        this.crashes.recordCrashBefore({ group, member }, runnerId, startedAt);
+      }
       extendLease(runner, this.state.bounds, leasesExtendedUntil);
     });
     if (group.members.some((member) => member.state === MemberState.ended)) {
@@ -72,7 +92,7 @@
     }
   }
 
-  private addMissingRunner(group: TaskGroup, id: string): Runner {
+  private addMissingRunner(group: TaskGroup, id: string, processStartedAt: number): Runner {
     const runner = new Runner({
       id,
       address: '',
@@ -82,7 +102,7 @@
       labels: [],
       capacity: { cpu: 0, memoryMb: 0, accelerators: 0 },
       isDraining: false,
-      processStartedAt: 0,
+      processStartedAt,
     });
     runner.isListed = false;
     this.state.runners.set(id, runner);
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -2,6 +2,7 @@
 import { EndEvidence } from './EndEvidence.js';
 import type { Occupant, Runner } from './Runner.js';
 import { occupantKey } from './Runner.js';
+import type { RunnerCrashes } from './RunnerCrashes.js';
 import { RunHistory } from './RunHistory.js';
 import type { TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 import { RunEnd } from './TaskGroupLifecycle.js';
@@ -49,6 +50,7 @@
   public constructor(
     private readonly state: DispatchState,
     private readonly lifecycle: TaskGroupLifecycle,
+    private readonly crashes: RunnerCrashes,
   ) {}
 
   /** Applies a report; returns false if it is that of an earlier incarnation. */
@@ -65,6 +67,7 @@
     if (report.processStartedAt !== processStartedAt) {
       this.restart(runner, report.processStartedAt, now);
     }
+    this.crashes.recordAnswer(runner);
     runner.isFenced = true;
     runner.isReportDue = false;
     runner.unansweredCalls = 0;
@@ -95,6 +98,7 @@
    */
   public restart(runner: Runner, startedAt: number, now: number): void {
     this.state.log.decide('runnerRestarted', { runner: runner.id, startedAt });
+    this.crashes.recordCrash(runner, now);
     runner.incarnationKnownAt = now;
     runner.listed = { ...runner.listed, processStartedAt: startedAt };
     runner.isFenced = false;
@@ -106,6 +110,7 @@
 
   /** Ends all runs of the runner, whose leases have expired. */
   public endAllRuns(runner: Runner, now: number, steadyNow: number): void {
+    this.crashes.recordCrash(runner, now);
     [...runner.occupants.values()].forEach((occupant) => {
       const { lapsed } = RunEnd;
       const { leaseExpired } = EndEvidence;
--- a/packages/dispatch/src/RunCounters.ts
+++ b/packages/dispatch/src/RunCounters.ts
@@ -13,6 +13,12 @@
   /** Reports of a run of a task of which another run is known to run. */
   public overlaps = 0;
 
+  /** Runners that crashed, or are presumed to have, while tasks were there. */
+  public crashes = 0;
+
+  /** Jobs that ended because a task crashes its runners. */
+  public crashingJobs = 0;
+
   /** Start commands with a call that got no answer. */
   public unsettledStarts = 0;
 }
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -77,6 +77,9 @@
   /** Monotonic time before which no task is started there. */
   public quarantinedUntil = 0;
 
+  /** Monotonic time before which a task that may crash the runner keeps it to itself. */
+  public closedUntil = -Infinity;
+
   /** Fault indications since the last successful run. */
   public faultCount = 0;
 
@@ -121,6 +124,9 @@
       this.tasks.delete(key);
       this.usedResources = subtract(this.usedResources, occupant.group.size);
     }
+    if (this.tasks.size === 0) {
+      this.closedUntil = -Infinity;
+    }
   }
 
   /** Runs that no occupant stands for, by `task#run`. */
@@ -199,6 +205,11 @@
     return subtract(this.freeCapacity, clampToZero(subtract(this.reserved, this.stopping)));
   }
 
+  /** Whether nothing runs here, is to start here or has reserved capacity. */
+  public get isEmpty(): boolean {
+    return this.tasks.size === 0 && this.strayRuns.size === 0 && this.reservations.size === 0;
+  }
+
   /** Number of tasks of the same step and occurrence that occupy this runner. */
   public countStepTasks(group: TaskGroup): number {
     const isSameStep = (other: TaskGroup | undefined): boolean =>
--- a/packages/dispatch/src/TaskGroup.ts
+++ b/packages/dispatch/src/TaskGroup.ts
@@ -1,5 +1,6 @@
 import { StateChart } from '@apricothoist/common';
 
+import { CrashHistory } from './CrashHistory.js';
 import type { JobRun } from './JobRun.js';
 import type { Step } from './Job.js';
 import { resourcesOf } from './Job.js';
@@ -46,8 +47,12 @@
   readonly task: string;
   state: MemberState;
   runnerId: string | undefined;
+  /** Incarnation of the runner that was chosen. */
+  processStartedAt: number;
   /** What is known of the calls about the current or last run. */
   history: RunHistory;
+  /** Crashes of runners while the task was there, in any of its runs. */
+  crashes: CrashHistory;
   isStopRequested: boolean;
   /** Last reported progress in percent. */
   percent: number;
@@ -85,6 +90,12 @@
   /** Monotonic time of the last start command. */
   public startRequestedAt = 0;
 
+  /** Whether the current run was started by an earlier scheduling instance. */
+  public isRestored = false;
+
+  /** Monotonic time since which the task group waits to be started again; 0 before its first run. */
+  public requeuedAt = 0;
+
   /** Monotonic time since which progress is unsaved: the start or the last saved progress. */
   public savedAt = 0;
 
@@ -129,6 +140,23 @@
     return coresOf(this.size) * this.members.length;
   }
 
+  /** Whether a member may crash the runner that starts it. */
+  public get isSuspect(): boolean {
+    return this.members.some(({ crashes }) => crashes.isSuspect);
+  }
+
+  /** Whether the number of further starts of a member is limited. */
+  public get isLimited(): boolean {
+    return this.members.some(({ crashes }) => crashes.isLimited);
+  }
+
+  /** Milliseconds after its start for which a suspect keeps its runners to itself. */
+  public get probationMs(): number {
+    return this.isLimited
+      ? Infinity
+      : Math.max(...this.members.map(({ crashes }) => crashes.probationMs));
+  }
+
   public get isActive(): boolean {
     return (
       this.phase === TaskGroupPhase.starting ||
@@ -156,7 +184,9 @@
     task,
     state: MemberState.idle,
     runnerId: undefined,
+    processStartedAt: 0,
     history: RunHistory.forStart(),
+    crashes: new CrashHistory(),
     isStopRequested: false,
     percent: 0,
     progressedAt: 0,
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -35,6 +35,12 @@
 const earlyFailureShare = 0.1;
 /** Back-off in milliseconds after a start without a response. */
 const unansweredRetryMs = 300;
+/** Outcomes of a call after which the run may have started. */
+const mayHaveStarted = new Set<StartOutcome>([
+  StartOutcome.unknown,
+  StartOutcome.started,
+  StartOutcome.outdatedRun,
+]);
 /** Faults of a runner that the outcome of a start command indicates. */
 const faultByOutcome: Partial<Record<StartOutcome, RunnerFault>> = {
   [StartOutcome.unknown]: RunnerFault.unanswered,
@@ -50,6 +56,7 @@
     group.apply('requestStart');
     group.run += 1;
     group.startRequestedAt = now;
+    group.isRestored = false;
     group.startedAt = 0;
     group.savedAt = now;
     group.hasFailedInRun = false;
@@ -57,9 +64,13 @@
     const runnerIds = [...placement].flatMap(([runnerId, count]) =>
       Array.from({ length: count }, () => runnerId),
     );
+    group.members.forEach(({ crashes }) => crashes.recordStart());
     group.members.forEach((member, position) => {
       const runner = this.state.runners.get(runnerIds[position] as string) as Runner;
       placeMember(group, member, runner, RunHistory.forStart());
+      if (group.isSuspect) {
+        runner.closedUntil = Math.max(runner.closedUntil, now + group.probationMs);
+      }
       this.state.starts.push({
         runnerId: runner.id,
         processStartedAt: runner.listed.processStartedAt,
@@ -97,6 +108,9 @@
     }
     const { group, member } = occupant;
     member.history.recordStartOutcomes(outcomes, now);
+    if (!outcomes.some((outcome) => mayHaveStarted.has(outcome))) {
+      member.crashes.recordNotStarted(runner.id, member.processStartedAt);
+    }
     if (member.state !== MemberState.starting) {
       return;
     }
@@ -380,6 +394,11 @@
     }
     group.startedAt = 0;
     group.job.isDirty = true;
+    const crashing = group.members.find(({ crashes }) => crashes.isToBeGivenUp);
+    if (crashing !== undefined) {
+      this.giveUp(group, crashing, now);
+      return;
+    }
     if (group.failures >= group.job.queue.maxAttempts && !group.step.isLasting) {
       group.apply('fail');
       if (!group.job.isEnded) {
@@ -388,6 +407,18 @@
       return;
     }
     group.apply('requeue');
+    group.requeuedAt = now;
+  }
+
+  // A task that crashes its runners costs more than its job is worth.
+  private giveUp(group: TaskGroup, { task, crashes }: Member, now: number): void {
+    group.apply('fail');
+    if (!group.job.isEnded) {
+      this.state.counters.crashingJobs += 1;
+      const runners = crashes.all.map(({ runnerId }) => runnerId).join(', ');
+      const reason = `task ${task} crashed ${crashes.all.length} runners: ${runners}`;
+      this.endJob(group.job, JobState.failed, reason, now);
+    }
   }
 }
 
@@ -399,6 +430,7 @@
   history: RunHistory,
 ): void {
   member.runnerId = runner.id;
+  member.processStartedAt = runner.listed.processStartedAt;
   member.state = MemberState.starting;
   member.history = history;
   member.isStopRequested = false;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -16,6 +16,7 @@
   StopCommand,
 } from './DispatchState.js';
 export { defaultPolicy } from './DispatchState.js';
+export { CrashSuspicion } from './CrashHistory.js';
 export { EndEvidence } from './EndEvidence.js';
 export { StartOutcome } from './StartOutcome.js';
 export { RunEnd } from './TaskGroupLifecycle.js';
--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -107,7 +107,7 @@
 test('tasks of an unresponsive runner are kept until its lease has certainly expired', (t) => {
   const fixture = new DispatchFixture();
   fixture.start();
-  fixture.dispatcher.recordUnansweredCall('r1');
+  fixture.dispatcher.recordUnansweredCall('r1', fixture.now);
   fixture.report('r2', [runningTask(1)]);
   fixture.step(6_000);
   t.is(fixture.dispatcher.state.runners.get('r1')?.occupants.size, 1);
--- a/packages/dispatch/src/strayRuns.test.ts
+++ b/packages/dispatch/src/strayRuns.test.ts
@@ -29,7 +29,7 @@
   fixture.report('r1', [runningTask(0)]);
   fixture.report('r2');
   fixture.step();
-  fixture.dispatcher.recordUnansweredCall('r1');
+  fixture.dispatcher.recordUnansweredCall('r1', fixture.now);
   t.deepEqual(fixture.step(6_000).starts, []);
   t.deepEqual(
     fixture.step(400).starts.map(({ runnerId }) => runnerId),
@@ -64,7 +64,7 @@
   fixture.report('r1');
   const commands = fixture.step();
   fixture.recordStartOutcomes(commands, StartOutcome.unknown);
-  fixture.dispatcher.recordUnansweredCall('r1');
+  fixture.dispatcher.recordUnansweredCall('r1', fixture.now);
   fixture.step(6_400);
   fixture.report('r1');
   t.deepEqual(fixture.step(21_000).starts, [], 'the quarantine is over');
@@ -88,7 +88,7 @@
   fixture.report('r1');
   const [first] = fixture.start().starts;
   const [runnerId, otherId] = first?.runnerId === 'r1' ? ['r1', 'r2'] : ['r2', 'r1'];
-  fixture.dispatcher.recordUnansweredCall(runnerId);
+  fixture.dispatcher.recordUnansweredCall(runnerId, fixture.now);
   fixture.report(otherId);
   const second = fixture.step(6_400);
   t.deepEqual(
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -149,7 +149,7 @@
   }
 
   public get status(): Readonly<Record<string, number>> {
-    const { ends, overlaps, unsettledStarts } = this.counters;
+    const { ends, overlaps, unsettledStarts, crashes, crashingJobs } = this.counters;
     const loadCost = this.scheduling?.loadCost;
     return {
       run_ends_reported: ends.reported,
@@ -158,6 +158,8 @@
       run_ends_lease_expired: ends.leaseExpired,
       runs_overlapping: overlaps,
       starts_unsettled: unsettledStarts,
+      runners_crashed: crashes,
+      jobs_given_up: crashingJobs,
       scheduling: this.isScheduling ? 1 : 0,
       stored_state_loaded: loadCost === undefined ? 0 : 1,
       stored_state_load_milliseconds: loadCost?.tookMs ?? 0,
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -234,7 +234,7 @@
       const message = report.isErr() ? report.error.message : 'report of an earlier incarnation';
       owner.reportUnansweredCall(runner.id, message);
     }
-    dispatcher.recordUnansweredCall(runner.id);
+    dispatcher.recordUnansweredCall(runner.id, this.clock.monotonic());
     return false;
   }
 
