No start beyond a capacity that may have shrunk, on runners that do not check it

Cause: the capacity of a runner is as old as the last listing that could be read, and nothing compared that age with the bound (4.5 s after a shrink); free capacity was compared only in the resources that a task needs. Whether a service's runners check their capacity was not read at all. Evidence: two red tests in virtual time (up to 8 of 1 accelerators used; a task without accelerators on a runner where 8 of 4 are used).

On services without `admissionCheck` a runner is used only while the listing is younger than 2.4 s and none of its resources is exceeded; both are asked again right before a start is sent. What runs over a shrunk capacity is not stopped: the contract asks for starts only.

--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -33,6 +33,11 @@
  * requirement allows three seconds.
  */
 const maxIdleWaitMs = 1_500;
+/**
+ * Milliseconds for which a listing shows the capacity of runners without a check of their own. With
+ * a heartbeat it stays below the 4.5 s after which a start must not exceed a shrunk capacity.
+ */
+const maxListingAgeMs = 2_400;
 /** Milliseconds for which a task group that may crash its runners waits for empty ones. */
 const maxIsolationWaitMs = 1_000;
 /** The same for one of which only few more starts are allowed. */
@@ -75,7 +80,9 @@
         }
       }),
     );
-    this.usableRunners = [...state.runners.values()].filter((runner) => isUsable(runner, now));
+    this.usableRunners = [...state.runners.values()].filter((runner) =>
+      isUsable(state, runner, now),
+    );
     this.totalAccelerators = this.usableRunners.reduce(
       (sum, { listed }) => sum + listed.capacity.accelerators,
       0,
@@ -270,7 +277,11 @@
       const placement = this.reservedPlacement(group);
       const isUnusable = [...placement.keys()].some((runnerId) => {
         const runner = this.state.runners.get(runnerId);
-        return runner === undefined || !isUsable(runner, this.now) || !isEligible(group, runner);
+        return (
+          runner === undefined ||
+          !isUsable(this.state, runner, this.now) ||
+          !isEligible(group, runner)
+        );
       });
       if (isUnusable || placement.size === 0 || this.now > group.reservedUntil) {
         this.lifecycle.release(group);
@@ -302,8 +313,22 @@
   }
 }
 
+/**
+ * Whether the capacity of the runner is known well enough. A runner without a check of its own starts
+ * what exceeds it, and its capacity may have shrunk since the listing.
+ */
+export function hasKnownCapacity(state: DispatchState, runner: Runner, now: number): boolean {
+  const isGuarded = !state.unguardedServices.has(runner.listed.service);
+  const { cpu, memoryMb, accelerators } = runner.freeCapacity;
+  return (
+    isGuarded ||
+    (now - state.listingRequestedAt <= maxListingAgeMs &&
+      Math.min(cpu, memoryMb, accelerators) >= 0)
+  );
+}
+
 /** Whether new tasks may start on the runner. */
-export function isUsable(runner: Runner, now: number): boolean {
+export function isUsable(state: DispatchState, runner: Runner, now: number): boolean {
   return (
     runner.isListed &&
     !runner.isDraining &&
@@ -311,6 +336,7 @@
     !runner.isEntryOutdated &&
     !runner.isReportDue &&
     !runner.isBlockedByStray &&
+    hasKnownCapacity(state, runner, now) &&
     runner.unansweredCalls === 0 &&
     runner.quarantinedUntil <= now
   );
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -117,6 +117,12 @@
 
   public accounts: ReadonlyMap<string, Account> = new Map();
 
+  /** Services whose runners do not check their capacity. */
+  public unguardedServices: ReadonlySet<string> = new Set();
+
+  /** Monotonic time at which the latest listing of the runners was requested. */
+  public listingRequestedAt = -Infinity;
+
   /** Slowdowns learned by the previous scheduling instance, by incarnation of the runner. */
   public readonly inheritedSlowdowns = new Map<string, SlowdownRecord>();
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,6 +1,6 @@
 import type { QueueStatus } from './Admission.js';
 import { describeQueues } from './Admission.js';
-import { DispatchRound } from './DispatchRound.js';
+import { DispatchRound, hasKnownCapacity } from './DispatchRound.js';
 import type {
   DecisionLog,
   DispatchBounds,
@@ -99,9 +99,11 @@
   public configure(
     queues: ReadonlyMap<string, Queue>,
     accounts: ReadonlyMap<string, Account>,
+    unguardedServices: ReadonlySet<string> = new Set(),
   ): void {
     this.state.queues = queues;
     this.state.accounts = accounts;
+    this.state.unguardedServices = unguardedServices;
     this.state.jobs.forEach((job) => {
       job.queue = queues.get(job.specification.queue) ?? job.queue;
     });
@@ -154,7 +156,12 @@
   }
 
   /** Applies the latest complete listing of the registry. */
-  public updateRunners(listed: readonly ListedRunner[], now: number): void {
+  public updateRunners(
+    listed: readonly ListedRunner[],
+    now: number,
+    requestedAt: number = now,
+  ): void {
+    this.state.listingRequestedAt = Math.max(this.state.listingRequestedAt, requestedAt);
     this.listing.apply(listed, now);
     this.isRoundDue = true;
   }
@@ -203,7 +210,8 @@
   }
 
   /** Whether the run of a start command is still wanted, on the incarnation it was chosen for. */
-  public isStartWanted({ runnerId, processStartedAt, task, run }: StartCommand): boolean {
+  public isStartWanted(command: StartCommand, now: number): boolean {
+    const { runnerId, processStartedAt, task, run } = command;
     const runner = this.state.runners.get(runnerId);
     const member = runner?.occupants.get(occupantKey(task, run))?.member;
     return (
@@ -211,6 +219,7 @@
       runner.isListed &&
       !runner.isDraining &&
       runner.isFenced &&
+      hasKnownCapacity(this.state, runner, now) &&
       member !== undefined &&
       !member.isStopRequested
     );
--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -46,7 +46,8 @@
       const isConfirmed = await this.owner.confirmRunner(runnerId);
       const { token } = this.owner;
       const sentAt = this.clock.monotonic();
-      const maySend = isConfirmed && sentAt <= sendBy && this.dispatcher.isStartWanted(command);
+      const maySend =
+        isConfirmed && sentAt <= sendBy && this.dispatcher.isStartWanted(command, sentAt);
       if (runner === undefined || token === undefined || !maySend) {
         break;
       }
--- a/packages/instance/src/OperatorConfiguration.ts
+++ b/packages/instance/src/OperatorConfiguration.ts
@@ -16,5 +16,7 @@
   readonly accounts: readonly Account[];
   /** Account name by API key. */
   readonly accountByKey: ReadonlyMap<string, string>;
+  /** Services whose runners start whatever they are told to, without a check of their capacity. */
+  readonly unguardedServices?: ReadonlySet<string>;
   readonly maxBodyBytes: number;
 }
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -180,6 +180,7 @@
     this.dispatcher.configure(
       new Map(configuration.routes.map((route) => [route.name, route])),
       new Map(configuration.accounts.map((account) => [account.name, account])),
+      configuration.unguardedServices,
     );
     this.wake();
   }
@@ -286,7 +287,7 @@
     this.loadCost = { tookMs, bytes: stored.bytes };
     const { runners, jobs, progress, revision } = stored;
     this.learnedState.restore(stored.learnedState);
-    this.dispatcher.updateRunners(runners, this.now);
+    this.dispatcher.updateRunners(runners, this.now, stored.runnersRequestedAt);
     this.runnersListedAt = stored.runnersRequestedAt;
     this.jobLoader.loadAll(jobs, progress);
     this.watch.start((error) => this.logError(error), revision);
@@ -393,13 +394,14 @@
       return;
     }
     this.isListingRunners = true;
-    this.runnersListedAt = this.now;
+    const requestedAt = this.now;
+    this.runnersListedAt = requestedAt;
     this.services.registry
-      .list(this.now + StoreTiming.callTimeoutMs)
+      .list(requestedAt + StoreTiming.callTimeoutMs)
       .then((runners) => {
         this.isListingRunners = false;
         if (runners.isOk() && !this.isStopped) {
-          this.dispatcher.updateRunners(runners.value, this.now);
+          this.dispatcher.updateRunners(runners.value, this.now, requestedAt);
           this.updateLinks();
           this.wake();
         }
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -31,11 +31,12 @@
 import { SuspendAwareClock } from '../SuspendAwareClock.js';
 
 export const queue = replayQueues.urgent as Queue;
-const configurationOf = (route: Queue): OperatorConfiguration => ({
+const configurationOf = (route: Queue, guardsCapacity: boolean): OperatorConfiguration => ({
   version: 1,
   routes: [{ ...route, host: 'host', pathPrefix: '/urgent/', isPublic: true }],
   accounts: [{ name: 'anna', guaranteedAccelerators: 0 }],
   accountByKey: new Map(),
+  unguardedServices: new Set(guardsCapacity ? [] : [route.service]),
   maxBodyBytes: 1_000,
 });
 /** Milliseconds that a gang waits for its members. */
@@ -176,7 +177,7 @@
     this.current = new Scheduling(
       this.createServices(token),
       token,
-      configurationOf(this.options.queue ?? queue),
+      configurationOf(this.options.queue ?? queue, this.options.guardsCapacity ?? true),
     );
     this.terms.set(token, this.current);
     this.current.start();
