The departure of a draining runner counts from the request for its listing

Found by a review of the reads that may take long now: a listing that takes seconds to arrive put off the departure of a draining runner by as much, so that its tasks were moved too late. New test (arrival counted before).

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -162,7 +162,7 @@
     requestedAt: number = now,
   ): void {
     this.state.listingRequestedAt = Math.max(this.state.listingRequestedAt, requestedAt);
-    this.listing.apply(listed, now);
+    this.listing.apply(listed, requestedAt, now);
     this.isRoundDue = true;
   }
 
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -19,10 +19,10 @@
     private readonly reportHandler: ReportHandler,
   ) {}
 
-  /** Applies a complete listing. */
-  public apply(listed: readonly ListedRunner[], now: number): void {
+  /** Applies a complete listing that was requested at `requestedAt`. */
+  public apply(listed: readonly ListedRunner[], requestedAt: number, now: number): void {
     const ids = new Set(listed.map((entry) => entry.id));
-    listed.forEach((entry) => this.applyEntry(entry, now));
+    listed.forEach((entry) => this.applyEntry(entry, requestedAt, now));
     this.missingSince.forEach((_since, id) => {
       if (!this.state.runners.has(id)) {
         this.missingSince.delete(id);
@@ -44,7 +44,7 @@
     }
   }
 
-  private applyEntry(entry: ListedRunner, now: number): void {
+  private applyEntry(entry: ListedRunner, requestedAt: number, now: number): void {
     const { log, runners } = this.state;
     this.missingSince.delete(entry.id);
     const known = runners.get(entry.id);
@@ -63,7 +63,7 @@
       this.reportHandler.restart(known, entry.processStartedAt, now);
     }
     if (entry.isDraining && !known.listed.isDraining) {
-      known.departsAt = now + (entry.minRemainingMs ?? Infinity);
+      known.departsAt = requestedAt + (entry.minRemainingMs ?? Infinity);
       log.decide('runnerDraining', { runner: entry.id, minRemainingMs: entry.minRemainingMs });
     }
     if (!entry.isDraining) {
--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -289,3 +289,12 @@
   t.is(fixture.step().starts.length, 1);
   t.is(fixture.state, 'running');
 });
+
+// A listing may take seconds to arrive over a slow link.
+test('the departure of a draining runner counts from the request for its listing', (t) => {
+  const fixture = new DispatchFixture();
+  const draining = listedRunner('r1', { isDraining: true, minRemainingMs: 4_000 });
+  const requestedAt = fixture.now;
+  fixture.dispatcher.updateRunners([draining], requestedAt + 3_000, requestedAt);
+  t.is(fixture.dispatcher.state.runners.get('r1')?.departsAt, requestedAt + 4_000);
+});
