A response that never ends is ended at the final deadline by a busy process too

Found by the review: each part armed the timer anew, also when the deadline could not move any more, so that a process that received a part in each turn of its loop never ended the call.

--- a/packages/platform/src/httpCall.test.ts
+++ b/packages/platform/src/httpCall.test.ts
@@ -10,15 +10,22 @@
     response.writeHead(200);
     while (isOpen) {
       response.write('.');
-      await delay(20);
+      await delay(1);
     }
   });
   const url = `http://127.0.0.1:${await server.listen()}/`;
   const clock = new SystemClock();
+  // A busy process receives a part in each turn of its loop.
+  const work = setInterval(() => {
+    const until = clock.monotonic() + 20;
+    while (clock.monotonic() < until);
+  }, 0);
   const deadline = clock.monotonic() + 200;
   const extension = { idleTimeoutMs: 60_000, finalDeadline: deadline + 300 };
   const result = await httpCall({ method: 'GET', url, agent: false, deadline, extension }, clock);
   isOpen = false;
+  clearInterval(work);
   t.is(result._unsafeUnwrapErr().kind, HttpErrorKind.incomplete);
   t.true(clock.monotonic() >= extension.finalDeadline - 1);
+  t.true(clock.monotonic() < extension.finalDeadline + 2_000, 'long before the idle timeout');
 });
--- a/packages/platform/src/httpCall.ts
+++ b/packages/platform/src/httpCall.ts
@@ -95,6 +95,9 @@
       }
       const { idleTimeoutMs, finalDeadline } = call.extension;
       const now = clock.monotonic();
+      if (now >= finalDeadline) {
+        return;
+      }
       deadline = Math.max(deadline, Math.min(now + idleTimeoutMs, finalDeadline));
       clearTimeout(timer);
       timer = setTimeout(expire, Math.max(0, deadline - now));
