The configuration is read whole half as often

It only guards against a change that a watch has missed unnoticed; every failed watch is followed by a read at once. The test of readiness plays two minutes instead of one, so that it sees as many reads.

--- a/packages/instance/src/ConfigurationFollower.test.ts
+++ b/packages/instance/src/ConfigurationFollower.test.ts
@@ -83,7 +83,7 @@
     follower.start();
     // The first read and the first watch.
     await timers.tickAsync(largeListMs + 1_200);
-    for (let elapsedMs = 0; elapsedMs < 60_000; elapsedMs += 10) {
+    for (let elapsedMs = 0; elapsedMs < 120_000; elapsedMs += 10) {
       await timers.tickAsync(10);
       oldestMs = Math.max(oldestMs, follower.ageMs);
     }
--- a/packages/instance/src/ConfigurationFollower.ts
+++ b/packages/instance/src/ConfigurationFollower.ts
@@ -11,7 +11,8 @@
  * instance reports not ready; it exceeds the one second for which a watch may miss changes.
  */
 const watchMs = 1_050;
-const watchesPerRead = 8;
+/** Watches between full reads, which cost as much as the configuration is large. */
+const watchesPerRead = 16;
 
 /** Follows the operator configuration in the store and tracks its age. */
 export class ConfigurationFollower implements Disposable {
