--- a/packages/dispatch/src/CrashHistory.test.ts
+++ b/packages/dispatch/src/CrashHistory.test.ts
@@ -6,9 +6,9 @@
 const { alone, latest, beside } = CrashSuspicion;
 let runners = 0;
 
-function crash(suspicion: CrashSuspicion, ageMs: number, isCommon = false): TaskCrash {
+function crash(suspicion: CrashSuspicion, ageMs: number, isDoubtful = false): TaskCrash {
   runners += 1;
-  return { runnerId: `r${runners}`, processStartedAt: 1, suspicion, isCommon, ageMs };
+  return { runnerId: `r${runners}`, processStartedAt: 1, suspicion, isDoubtful, ageMs };
 }
 
 function historyOf(...crashes: readonly TaskCrash[]): CrashHistory {
@@ -30,6 +30,7 @@
   t.false(historyOf(crash(alone, 3_000), crash(alone, 3_000)).isToBeGivenUp, 'late, twice');
   const common = historyOf(crash(alone, 20, true), crash(alone, 20, true), crash(alone, 20, true));
   t.false(common.isToBeGivenUp, 'several runners at the same time');
+  t.false(historyOf(crash(alone, 20, true), crash(latest, 20, true)).isSuspect);
 });
 
 test('crashes late in a run prove the task to blame from the third on', (t) => {
--- a/packages/dispatch/src/CrashHistory.ts
+++ b/packages/dispatch/src/CrashHistory.ts
@@ -15,8 +15,11 @@
   /** Incarnation that crashed. */
   readonly processStartedAt: number;
   readonly suspicion: CrashSuspicion;
-  /** Whether other runners were lost at the same time, so that the cause may be a common one. */
-  readonly isCommon: boolean;
+  /**
+   * Whether something else may be to blame: other runners were lost at the same time, or the process
+   * may not have ended.
+   */
+  readonly isDoubtful: boolean;
   /** Milliseconds from the start command to the loss of the runner. */
   readonly ageMs: number;
 }
@@ -45,6 +48,9 @@
 /** Longest such time in milliseconds, as it leaves most of the runner unused. */
 const maxProbationMs = 3_000;
 
+/** The same in milliseconds for a task of which only few more starts are allowed. */
+const limitedProbationMs = 10_000;
+
 /** Suspicions that hold the task more likely to blame than others. */
 const grave = new Set<CrashSuspicion>([CrashSuspicion.alone, CrashSuspicion.latest]);
 
@@ -64,11 +70,11 @@
   public static restore([startsAfterLimit, crashes]: CrashRecord): CrashHistory {
     const history = new CrashHistory();
     history.startsAfterLimit = startsAfterLimit;
-    history.crashes = crashes.map(([runnerId, processStartedAt, suspicion, isCommon, ageMs]) => ({
+    history.crashes = crashes.map(([runnerId, processStartedAt, suspicion, isDoubtful, ageMs]) => ({
       runnerId,
       processStartedAt,
       suspicion,
-      isCommon,
+      isDoubtful,
       ageMs,
     }));
     return history;
@@ -77,8 +83,8 @@
   /** Form to be stored; undefined if there is no crash. */
   public toRecord(): CrashRecord | undefined {
     const rows = this.crashes.map(
-      ({ runnerId, processStartedAt, suspicion, isCommon, ageMs }) =>
-        [runnerId, processStartedAt, suspicion, isCommon, ageMs] as const,
+      ({ runnerId, processStartedAt, suspicion, isDoubtful, ageMs }) =>
+        [runnerId, processStartedAt, suspicion, isDoubtful, ageMs] as const,
     );
     return rows.length === 0 ? undefined : [this.startsAfterLimit, rows];
   }
@@ -99,11 +105,11 @@
     return !isKnown;
   }
 
-  /** Records that the crash of an incarnation may have a common cause with others. */
-  public markCommon(runnerId: string, processStartedAt: number): void {
+  /** Records that something else may be to blame for the crash of an incarnation. */
+  public markDoubtful(runnerId: string, processStartedAt: number): void {
     this.crashes = this.crashes.map((crash) =>
       crash.runnerId === runnerId && crash.processStartedAt === processStartedAt
-        ? { ...crash, isCommon: true }
+        ? { ...crash, isDoubtful: true }
         : crash,
     );
   }
@@ -127,6 +133,11 @@
     this.startsAfterLimit += this.isLastStartCounted ? 1 : 0;
   }
 
+  /** Records that one start command was executed by another process as well. */
+  public recordFurtherStart(): void {
+    this.startsAfterLimit += this.isLimited ? 1 : 0;
+  }
+
   /** Records that the runner has certainly not executed the last start command. */
   public recordNotStarted(runnerId: string, processStartedAt: number): void {
     this.retract(runnerId, processStartedAt);
@@ -141,7 +152,9 @@
 
   /** Whether the task starts next where it takes the least with it. */
   public get isSuspect(): boolean {
-    return this.crashes.length > 1 || this.crashes.some(({ suspicion }) => grave.has(suspicion));
+    const certain = this.crashes.filter(({ isDoubtful }) => !isDoubtful);
+    const isGrave = certain.some(({ suspicion }) => grave.has(suspicion));
+    return this.isLimited || certain.length > 1 || isGrave;
   }
 
   /** Whether the task is not started any more. */
@@ -151,6 +164,9 @@
 
   /** Milliseconds after its start for which a suspect keeps its runner to itself. */
   public get probationMs(): number {
+    if (this.isLimited) {
+      return limitedProbationMs;
+    }
     const ages = this.crashes.map(({ ageMs }) => ageMs);
     const longestMs = Math.max(0, ...ages) * probationFactor + probationMarginMs;
     return Math.min(maxProbationMs, longestMs);
@@ -158,7 +174,7 @@
 
   private get hasProof(): boolean {
     const crashes = this.crashes.filter(
-      ({ suspicion, isCommon }) => grave.has(suspicion) && !isCommon,
+      ({ suspicion, isDoubtful }) => grave.has(suspicion) && !isDoubtful,
     );
     return crashes.some((crash) => {
       const similar = crashes.filter((other) => haveSameAge(crash, other));
--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -35,13 +35,16 @@
 const maxIdleWaitMs = 1_500;
 /**
  * Milliseconds for which a listing shows the capacity of runners without a check of their own. With
- * a heartbeat it stays below the 4.5 s after which a start must not exceed a shrunk capacity.
+ * a heartbeat and the call it stays below the 4.5 s after which a start must not exceed a shrunk
+ * capacity.
  */
-const maxListingAgeMs = 2_400;
+const maxListingAgeMs = 2_000;
 /** Milliseconds for which a task group that may crash its runners waits for empty ones. */
 const maxIsolationWaitMs = 1_000;
 /** The same for one of which only few more starts are allowed. */
 const maxLimitedWaitMs = 15_000;
+/** Share of the usable runners that suspects may keep to themselves at the same time. */
+const maxClosedShare = 0.5;
 /** Factor on the work that a guaranteed job may destroy while it is in time: see maxLostWork. */
 const guaranteedLossFactor = 5;
 /** Value of a late job relative to one in time, as the service requirements weight them. */
@@ -62,6 +65,9 @@
 
   private readonly totalAccelerators: number;
 
+  /** Number of further runners that suspects may keep to themselves. */
+  private closableRunners: number;
+
   /** Accelerators that non-urgent work leaves free for urgent jobs. */
   private readonly headroom: number;
 
@@ -88,9 +94,10 @@
       0,
     );
     this.startReserved();
-    this.ledger = new CapacityLedger(
-      this.usableRunners.filter(({ closedUntil }) => closedUntil <= now),
-    );
+    const openRunners = this.usableRunners.filter(({ closedUntil }) => closedUntil <= now);
+    const closedCount = this.usableRunners.length - openRunners.length;
+    this.closableRunners = Math.max(1, this.usableRunners.length * maxClosedShare) - closedCount;
+    this.ledger = new CapacityLedger(openRunners);
     this.placementSearch = new PlacementSearch(this.ledger);
     this.guaranteedJobs = coveredJobs(state.openJobs, state.accounts);
     const maxHeadroom = this.totalAccelerators * state.policy.headroomShare;
@@ -155,10 +162,10 @@
       : this.placementSearch.find(group, mayLeaveRack);
     if (placement !== undefined) {
       this.ledger.allocate(group, placement);
+      this.lifecycle.requestStart(group, placement, this.now);
       if (group.isSuspect) {
-        placement.forEach((_count, runnerId) => this.ledger.close(runnerId));
+        this.closeRunners(group, placement);
       }
-      this.lifecycle.requestStart(group, placement, this.now);
       return true;
     }
     const mayReclaim =
@@ -166,6 +173,21 @@
     return mayReclaim && this.reclaim(group, rank);
   }
 
+  // Keeps the runners of a suspect to itself for a while, where it is alone and not too many are.
+  private closeRunners(group: TaskGroup, placement: Placement): void {
+    placement.forEach((_count, runnerId) => {
+      const runner = this.state.runners.get(runnerId);
+      const isAlone = [...(runner?.occupants.values() ?? [])].every(
+        (occupant) => occupant.group === group,
+      );
+      if (runner !== undefined && isAlone && (!group.isLimited || this.closableRunners > 0)) {
+        this.closableRunners -= 1;
+        runner.closedUntil = this.now + group.probationMs;
+        this.ledger.close(runnerId);
+      }
+    });
+  }
+
   private findForSuspect(group: TaskGroup, mayLeaveRack: boolean): Placement | undefined {
     const placement = this.placementSearch.findEmpty(group, mayLeaveRack);
     const maxWaitMs = group.isLimited ? maxLimitedWaitMs : maxIsolationWaitMs;
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -110,7 +110,7 @@
 
   /** Ends all runs of the runner, whose leases have expired. */
   public endAllRuns(runner: Runner, now: number, steadyNow: number): void {
-    this.crashes.recordCrash(runner, now);
+    this.crashes.recordExpiry(runner, now);
     [...runner.occupants.values()].forEach((occupant) => {
       const { lapsed } = RunEnd;
       const { leaseExpired } = EndEvidence;
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -86,6 +86,9 @@
   /** Whether the registry lists the runner. */
   public isListed = true;
 
+  /** Incarnation that was seen draining: its end is a planned one. */
+  public drainedIncarnation = 0;
+
   /** Monotonic time from which a draining runner may be gone; Infinity while it stays. */
   public departsAt = Infinity;
 
@@ -100,6 +103,11 @@
     return this.listed.id;
   }
 
+  /** Whether the present incarnation was seen draining, although its entry may not say so any more. */
+  public get isLeaving(): boolean {
+    return this.isDraining || this.drainedIncarnation === this.listed.processStartedAt;
+  }
+
   public get isDraining(): boolean {
     return this.listed.isDraining;
   }
--- a/packages/dispatch/src/RunnerCrashes.test.ts
+++ b/packages/dispatch/src/RunnerCrashes.test.ts
@@ -68,3 +68,37 @@
   after.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 20 })], after.now);
   t.is(crashesOf(after).length, 2);
 });
+
+test('a draining runner that goes before its announced departure has crashed', (t) => {
+  const fixture = startOne();
+  const draining = { isDraining: true, minRemainingMs: 8_000 };
+  fixture.dispatcher.updateRunners([listedRunner('r1', draining)], fixture.now);
+  fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], fixture.now);
+  t.is(crashesOf(fixture).length, 1);
+});
+
+// Cut networks looked like crashes at the same age, and innocent tasks were given up.
+test('a crash is certain only with another process at the address of the runner', (t) => {
+  [false, true].forEach((isReplaced) => {
+    const fixture = startOne();
+    fixture.dispatcher.recordUnansweredCall('r1', fixture.now);
+    const successor = listedRunner('r9', { address: isReplaced ? 'r1' : 'r9' });
+    fixture.dispatcher.updateRunners([listedRunner('r1'), successor], fixture.now);
+    fixture.step(leaseMs);
+    t.like(crashesOf(fixture), [{ isDoubtful: !isReplaced }]);
+  });
+});
+
+// The retry of a start command was executed by the next process, and crashed it as well.
+test('a start that two processes may have executed counts as two crashes', (t) => {
+  const fixture = new DispatchFixture([plainStep], undefined, ['r1']);
+  fixture.report('r1');
+  fixture.step();
+  fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], fixture.now);
+  fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 20 })], fixture.now);
+  t.is(crashesOf(fixture).length, 2);
+  const answered = startOne();
+  answered.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], answered.now);
+  answered.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 20 })], answered.now);
+  t.is(crashesOf(answered).length, 1, 'no call is open');
+});
--- a/packages/dispatch/src/RunnerCrashes.ts
+++ b/packages/dispatch/src/RunnerCrashes.ts
@@ -16,10 +16,10 @@
 }
 
 /** Milliseconds within which runners count as lost at the same time. */
-const sameTimeMs = 2_000;
+const sameTimeMs = 1_000;
 /** Number and share of the listed runners that are lost together by a common cause. */
 const minCommonLosses = 3;
-const commonLossShare = 0.25;
+const commonLossShare = 0.5;
 /** Milliseconds within which starts on one runner count as simultaneous. */
 const simultaneousMs = 250;
 /** Largest number of tasks in a log line. */
@@ -58,44 +58,61 @@
     });
   }
 
-  /** Records that the present incarnation of the runner is gone, or presumed to be. */
+  /** Records that the present incarnation of the runner has ended. */
   public recordCrash(runner: Runner, now: number): void {
+    this.record(runner, now, false);
+  }
+
+  /**
+   * Records that the leases on the runner have expired without an answer. Its process has ended if
+   * another one is listed at its address.
+   */
+  public recordExpiry(runner: Runner, now: number): void {
+    const { address } = runner.listed;
+    const isReplaced = [...this.state.runners.values()].some(
+      (other) => other !== runner && other.isListed && other.listed.address === address,
+    );
+    this.record(runner, now, !isReplaced);
+  }
+
+  private record(runner: Runner, now: number, isPresumed: boolean): void {
+    const lostAt = this.losses.get(runner.id) ?? now;
     const occupants = [...runner.occupants.values()];
-    if (occupants.length === 0 || runner.isDraining) {
+    if (occupants.length === 0 || isPlannedEnd(runner, lostAt)) {
       return;
     }
     if (!this.losses.has(runner.id)) {
       this.recordLoss(runner, now);
     }
-    const lostAt = this.losses.get(runner.id) ?? now;
     this.forgetEndedJobs();
-    const suspects = occupants.map(({ group, member }) => {
-      const { processStartedAt } = member;
-      return { group, member, processStartedAt };
-    });
-    this.recent.push({ runnerId: runner.id, lostAt, suspects });
+    const gone = occupants.map((occupant) => ({
+      ...occupant,
+      ...incarnationOf(occupant, runner),
+    }));
+    this.recent.push({ runnerId: runner.id, lostAt, suspects: gone });
     this.recent = this.recent.filter((crash) => now - crash.lostAt <= sameTimeMs * 2);
     const isCommon = this.isCommonLoss(lostAt);
     if (isCommon) {
-      this.markCommon(lostAt);
+      this.markDoubtful(lostAt);
     }
     const latestStart = Math.max(...occupants.map(({ group }) => group.startRequestedAt));
-    occupants.forEach(({ group, member }) => {
-      const suspicion = judge(group, occupants, latestStart);
-      const ageMs = Math.round(Math.max(0, lostAt - group.startRequestedAt));
-      this.add(group, member, {
+    gone.forEach(({ group, member, processStartedAt, isFurther }) => {
+      const isNew = this.add(group, member, {
         runnerId: runner.id,
-        // The runner may have been restarted before, and the run not held to have ended since.
-        processStartedAt: member.processStartedAt,
-        suspicion,
-        isCommon,
-        ageMs,
+        processStartedAt,
+        suspicion: judge(group, occupants, latestStart),
+        isDoubtful: isCommon || isPresumed,
+        ageMs: Math.round(Math.max(0, lostAt - group.startRequestedAt)),
       });
+      if (isNew && isFurther) {
+        member.crashes.recordFurtherStart();
+      }
     });
     this.state.counters.crashes += 1;
     this.state.log.decide('runnerCrashed', {
       runner: runner.id,
       startedAt: runner.listed.processStartedAt,
+      isPresumed,
       isCommon,
       lostMs: Math.round(now - lostAt),
       tasks: occupants
@@ -113,7 +130,7 @@
     processStartedAt: number,
   ): void {
     const suspicion = CrashSuspicion.beside;
-    const crash = { runnerId, processStartedAt, suspicion, isCommon: true, ageMs: 0 };
+    const crash = { runnerId, processStartedAt, suspicion, isDoubtful: true, ageMs: 0 };
     this.add(group, member, crash);
   }
 
@@ -143,11 +160,13 @@
     group: TaskGroup,
     member: Member,
     crash: Parameters<Member['crashes']['add']>[0],
-  ): void {
-    if (member.crashes.add(crash)) {
+  ): boolean {
+    const isNew = member.crashes.add(crash);
+    if (isNew) {
       group.job.isDirty = true;
       this.index({ group, member }, crash.runnerId, crash.processStartedAt);
     }
+    return isNew;
   }
 
   private index(suspect: Suspect, runnerId: string, processStartedAt: number): void {
@@ -165,16 +184,18 @@
       const open = suspects.filter(({ group }) => !group.job.isEnded);
       if (open.length === 0) {
         this.suspects.delete(key);
+      } else {
+        this.suspects.set(key, open);
       }
     });
   }
 
-  private markCommon(at: number): void {
+  private markDoubtful(at: number): void {
     this.recent
       .filter(({ lostAt }) => Math.abs(lostAt - at) <= sameTimeMs)
       .forEach(({ runnerId, suspects }) =>
         suspects.forEach(({ group, member, processStartedAt }) => {
-          member.crashes.markCommon(runnerId, processStartedAt);
+          member.crashes.markDoubtful(runnerId, processStartedAt);
           group.job.isDirty ||= !group.job.isEnded;
         }),
       );
@@ -188,6 +209,25 @@
   }
 }
 
+// A runner that goes before its announced departure has crashed.
+function isPlannedEnd(runner: Runner, lostAt: number): boolean {
+  return runner.isLeaving && (runner.departsAt === Infinity || lostAt >= runner.departsAt);
+}
+
+/**
+ * Incarnation that ended under a task. The runner may have been restarted before, and the run not held
+ * to have ended since; the later process counts only if it may have executed the start as well.
+ */
+function incarnationOf(
+  { member }: Occupant,
+  runner: Runner,
+): { readonly processStartedAt: number; readonly isFurther: boolean } {
+  const isFurther =
+    member.processStartedAt !== runner.listed.processStartedAt && member.history.mayStillStart;
+  const { processStartedAt } = isFurther ? runner.listed : member;
+  return { processStartedAt, isFurther };
+}
+
 function judge(
   group: TaskGroup,
   occupants: readonly Occupant[],
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -66,7 +66,9 @@
       known.departsAt = requestedAt + (entry.minRemainingMs ?? Infinity);
       log.decide('runnerDraining', { runner: entry.id, minRemainingMs: entry.minRemainingMs });
     }
-    if (!entry.isDraining) {
+    if (entry.isDraining) {
+      known.drainedIncarnation = entry.processStartedAt;
+    } else {
       known.departsAt = Infinity;
     }
     known.isListed = true;
--- a/packages/dispatch/src/TaskGroup.ts
+++ b/packages/dispatch/src/TaskGroup.ts
@@ -152,9 +152,7 @@
 
   /** Milliseconds after its start for which a suspect keeps its runners to itself. */
   public get probationMs(): number {
-    return this.isLimited
-      ? Infinity
-      : Math.max(...this.members.map(({ crashes }) => crashes.probationMs));
+    return Math.max(...this.members.map(({ crashes }) => crashes.probationMs));
   }
 
   public get isActive(): boolean {
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -68,9 +68,6 @@
     group.members.forEach((member, position) => {
       const runner = this.state.runners.get(runnerIds[position] as string) as Runner;
       placeMember(group, member, runner, RunHistory.forStart());
-      if (group.isSuspect) {
-        runner.closedUntil = Math.max(runner.closedUntil, now + group.probationMs);
-      }
       this.state.starts.push({
         runnerId: runner.id,
         processStartedAt: runner.listed.processStartedAt,
