--- a/packages/instance/src/FeedUpdateBuffer.ts
+++ b/packages/instance/src/FeedUpdateBuffer.ts
@@ -98,9 +98,7 @@
   }
 }
 
-/**
- * Whether a queue has no work and never had any.
- */
+/** Whether a queue has no waiting job and no known duration, as long as it has never been used. */
 export function isIdle({ pending, durationMs }: QueueStatus): boolean {
   return pending === 0 && durationMs === 0;
 }
