--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -33,6 +33,15 @@
  * requirement allows three seconds.
  */
 const maxIdleWaitMs = 1_500;
+/**
+ * Milliseconds for which a listing shows the capacity of runners without a check of their own. With
+ * a heartbeat it stays below the 4.5 s after which a start must not exceed a shrunk capacity.
+ */
+const maxListingAgeMs = 2_400;
+/** Milliseconds for which a task group that may crash its runners waits for empty ones. */
+const maxIsolationWaitMs = 1_000;
+/** The same for one of which only few more starts are allowed. */
+const maxLimitedWaitMs = 15_000;
 /** Factor on the work that a guaranteed job may destroy while it is in time: see maxLostWork. */
 const guaranteedLossFactor = 5;
 /** Value of a late job relative to one in time, as the service requirements weight them. */
@@ -71,13 +80,17 @@
         }
       }),
     );
-    this.usableRunners = [...state.runners.values()].filter((runner) => isUsable(runner, now));
+    this.usableRunners = [...state.runners.values()].filter((runner) =>
+      isUsable(state, runner, now),
+    );
     this.totalAccelerators = this.usableRunners.reduce(
       (sum, { listed }) => sum + listed.capacity.accelerators,
       0,
     );
     this.startReserved();
-    this.ledger = new CapacityLedger(this.usableRunners);
+    this.ledger = new CapacityLedger(
+      this.usableRunners.filter(({ closedUntil }) => closedUntil <= now),
+    );
     this.placementSearch = new PlacementSearch(this.ledger);
     this.guaranteedJobs = coveredJobs(state.openJobs, state.accounts);
     const maxHeadroom = this.totalAccelerators * state.policy.headroomShare;
@@ -136,12 +149,15 @@
     if (!rank.isUrgent && !isOverdue && !this.leavesHeadroom(group, rank)) {
       return false;
     }
-    const placement = this.placementSearch.find(
-      group,
-      isOverdue || !this.couldFitPreferredRack(group),
-    );
+    const mayLeaveRack = isOverdue || !this.couldFitPreferredRack(group);
+    const placement = group.isSuspect
+      ? this.findForSuspect(group, mayLeaveRack)
+      : this.placementSearch.find(group, mayLeaveRack);
     if (placement !== undefined) {
       this.ledger.allocate(group, placement);
+      if (group.isSuspect) {
+        placement.forEach((_count, runnerId) => this.ledger.close(runnerId));
+      }
       this.lifecycle.requestStart(group, placement, this.now);
       return true;
     }
@@ -150,6 +166,15 @@
     return mayReclaim && this.reclaim(group, rank);
   }
 
+  private findForSuspect(group: TaskGroup, mayLeaveRack: boolean): Placement | undefined {
+    const placement = this.placementSearch.findEmpty(group, mayLeaveRack);
+    const maxWaitMs = group.isLimited ? maxLimitedWaitMs : maxIsolationWaitMs;
+    const mayShare = this.now - group.requeuedAt > maxWaitMs;
+    return placement === undefined && mayShare
+      ? this.placementSearch.find(group, mayLeaveRack)
+      : placement;
+  }
+
   // While the service is mostly idle, a task group does not keep waiting for its preferred rack or
   // for the sake of urgent jobs that have not arrived yet.
   private isOverdue(group: TaskGroup): boolean {
@@ -218,7 +243,7 @@
   // Guaranteed jobs may preempt every job without a guarantee; other urgent jobs only preempt
   // queues of lower priority.
   private mayPreempt(victim: TaskGroup, rank: JobRank): boolean {
-    if (victim.step.isLasting || victim.phase === TaskGroupPhase.stopping) {
+    if (victim.step.isLasting || victim.isLimited || victim.phase === TaskGroupPhase.stopping) {
       return false;
     }
     const { job } = victim;
@@ -252,7 +277,11 @@
       const placement = this.reservedPlacement(group);
       const isUnusable = [...placement.keys()].some((runnerId) => {
         const runner = this.state.runners.get(runnerId);
-        return runner === undefined || !isUsable(runner, this.now) || !isEligible(group, runner);
+        return (
+          runner === undefined ||
+          !isUsable(this.state, runner, this.now) ||
+          !isEligible(group, runner)
+        );
       });
       if (isUnusable || placement.size === 0 || this.now > group.reservedUntil) {
         this.lifecycle.release(group);
@@ -284,8 +313,22 @@
   }
 }
 
+/**
+ * Whether the capacity of the runner is known well enough. A runner without a check of its own starts
+ * what exceeds it, and its capacity may have shrunk since the listing.
+ */
+export function hasKnownCapacity(state: DispatchState, runner: Runner, now: number): boolean {
+  const isGuarded = !state.unguardedServices.has(runner.listed.service);
+  const { cpu, memoryMb, accelerators } = runner.freeCapacity;
+  return (
+    isGuarded ||
+    (now - state.listingRequestedAt <= maxListingAgeMs &&
+      Math.min(cpu, memoryMb, accelerators) >= 0)
+  );
+}
+
 /** Whether new tasks may start on the runner. */
-export function isUsable(runner: Runner, now: number): boolean {
+export function isUsable(state: DispatchState, runner: Runner, now: number): boolean {
   return (
     runner.isListed &&
     !runner.isDraining &&
@@ -293,6 +336,7 @@
     !runner.isEntryOutdated &&
     !runner.isReportDue &&
     !runner.isBlockedByStray &&
+    hasKnownCapacity(state, runner, now) &&
     runner.unansweredCalls === 0 &&
     runner.quarantinedUntil <= now
   );
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,6 +1,6 @@
 import type { QueueStatus } from './Admission.js';
 import { describeQueues } from './Admission.js';
-import { DispatchRound } from './DispatchRound.js';
+import { DispatchRound, hasKnownCapacity } from './DispatchRound.js';
 import type {
   DecisionLog,
   DispatchBounds,
@@ -21,6 +21,7 @@
 import type { ListedRunner, Runner } from './Runner.js';
 import { extendLease, occupantKey } from './Runner.js';
 import type { RunCounters } from './RunCounters.js';
+import { RunnerCrashes } from './RunnerCrashes.js';
 import { RunnerListing } from './RunnerListing.js';
 import { StartOutcome } from './StartOutcome.js';
 import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
@@ -61,6 +62,8 @@
 
   private readonly lifecycle: TaskGroupLifecycle;
 
+  private readonly crashes: RunnerCrashes;
+
   private readonly reportHandler: ReportHandler;
 
   private readonly listing: RunnerListing;
@@ -86,18 +89,21 @@
   ) {
     this.state = new DispatchState(bounds, log, policy, counters);
     this.lifecycle = new TaskGroupLifecycle(this.state);
-    this.reportHandler = new ReportHandler(this.state, this.lifecycle);
+    this.crashes = new RunnerCrashes(this.state);
+    this.reportHandler = new ReportHandler(this.state, this.lifecycle, this.crashes);
     this.listing = new RunnerListing(this.state, this.reportHandler);
-    this.progressRestorer = new ProgressRestorer(this.state, this.lifecycle);
+    this.progressRestorer = new ProgressRestorer(this.state, this.lifecycle, this.crashes);
   }
 
   /** Applies the queues and accounts of a newer configuration. */
   public configure(
     queues: ReadonlyMap<string, Queue>,
     accounts: ReadonlyMap<string, Account>,
+    unguardedServices: ReadonlySet<string> = new Set(),
   ): void {
     this.state.queues = queues;
     this.state.accounts = accounts;
+    this.state.unguardedServices = unguardedServices;
     this.state.jobs.forEach((job) => {
       job.queue = queues.get(job.specification.queue) ?? job.queue;
     });
@@ -150,8 +156,13 @@
   }
 
   /** Applies the latest complete listing of the registry. */
-  public updateRunners(listed: readonly ListedRunner[], now: number): void {
-    this.listing.apply(listed, now);
+  public updateRunners(
+    listed: readonly ListedRunner[],
+    now: number,
+    requestedAt: number = now,
+  ): void {
+    this.state.listingRequestedAt = Math.max(this.state.listingRequestedAt, requestedAt);
+    this.listing.apply(listed, requestedAt, now);
     this.isRoundDue = true;
   }
 
@@ -176,9 +187,12 @@
   }
 
   /** Records that the runner did not respond to a call. */
-  public recordUnansweredCall(runnerId: string): void {
+  public recordUnansweredCall(runnerId: string, now: number): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
+      if (runner.unansweredCalls === 0) {
+        this.crashes.recordLoss(runner, now);
+      }
       runner.unansweredCalls += 1;
     }
   }
@@ -196,7 +210,8 @@
   }
 
   /** Whether the run of a start command is still wanted, on the incarnation it was chosen for. */
-  public isStartWanted({ runnerId, processStartedAt, task, run }: StartCommand): boolean {
+  public isStartWanted(command: StartCommand, now: number): boolean {
+    const { runnerId, processStartedAt, task, run } = command;
     const runner = this.state.runners.get(runnerId);
     const member = runner?.occupants.get(occupantKey(task, run))?.member;
     return (
@@ -204,6 +219,7 @@
       runner.isListed &&
       !runner.isDraining &&
       runner.isFenced &&
+      hasKnownCapacity(this.state, runner, now) &&
       member !== undefined &&
       !member.isStopRequested
     );
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -18,8 +18,10 @@
 import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
 import { LearnedStateStore } from './LearnedStateStore.js';
+import type { LoadLimit } from './LoadLimit.js';
 import { StoredJobLoader } from './StoredJobLoader.js';
 import { StoreKeys } from './keys.js';
+import { StoredStateReader } from './StoredStateReader.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
 import { CommandSender } from './CommandSender.js';
 import { PrefixFollower } from './PrefixFollower.js';
@@ -41,10 +43,6 @@
  * Milliseconds that a watch of accepted jobs waits; an unresponsive watch is detected soon after.
  */
 const watchMs = 1_500;
-/** Timeout in milliseconds of the full read at a takeover: pages of up to a megabyte each. */
-const takeoverTimeoutMs = 2_000;
-/** Milliseconds before a failed takeover read is retried. */
-const takeoverRetryMs = 100;
 
 /** Registry of the available runners. */
 export interface RunnerRegistry {
@@ -67,9 +65,19 @@
   /** Fencing token while the lease is valid, undefined otherwise. */
   readonly token: () => number | undefined;
   readonly resign: (reason: string) => void;
+  /** Gives the leadership to another instance. */
+  readonly transfer: (reason: string) => void;
+  readonly loadLimit: LoadLimit;
   readonly publish: (update: JobUpdate) => void;
 }
 
+/** What the load of the stored state has cost. */
+export interface LoadCost {
+  readonly tookMs: number;
+  /** Bytes of jobs and progress. */
+  readonly bytes: number;
+}
+
 /**
  * One leadership term as the scheduling instance: loads the stored state, fences the previous
  * holder at each runner, and then turns events into commands. A command is sent only after the
@@ -78,6 +86,9 @@
 export class Scheduling implements RunnerLinkOwner, Disposable {
   public readonly dispatcher: Dispatcher;
 
+  /** Cost of the load of the stored state; undefined until it is done. */
+  public loadCost: LoadCost | undefined;
+
   private readonly links = new Map<string, RunnerLink>();
 
   private readonly lastStoredEnds = new Map<string, { processStartedAt: number; end: number }>();
@@ -90,6 +101,8 @@
 
   private readonly jobLoader: StoredJobLoader;
 
+  private loadTimer: NodeJS.Timeout | undefined;
+
   private isStopped = false;
 
   private hasPendingEvents = false;
@@ -167,6 +180,7 @@
     this.dispatcher.configure(
       new Map(configuration.routes.map((route) => [route.name, route])),
       new Map(configuration.accounts.map((account) => [account.name, account])),
+      configuration.unguardedServices,
     );
     this.wake();
   }
@@ -252,33 +266,65 @@
   }
 
   private async loadStoredState(): Promise<boolean> {
-    const { store, registry, log } = this.services;
-    while (!this.isStopped) {
-      const deadline = this.now + takeoverTimeoutMs;
-      const [runners, jobs, progress] = await Promise.all([
-        registry.list(deadline),
-        store.list(StoreKeys.jobPrefix, deadline),
-        store.list(StoreKeys.progressPrefix, deadline),
-        this.learnedState.restore(deadline),
-      ]);
-      if (runners.isOk() && jobs.isOk() && progress.isOk()) {
-        this.dispatcher.updateRunners(runners.value, this.now);
-        this.runnersListedAt = this.now;
-        this.jobLoader.loadAll(jobs.value.items, progress.value.items);
-        this.watch.start((error) => this.logError(error), jobs.value.revision);
-        this.updateLinks();
-        log.emit(JobEvents.storedStateLoaded, {
-          token: this.termToken,
-          jobs: this.dispatcher.state.jobs.size,
-          runners: runners.value.length,
-          revision: jobs.value.revision,
-        });
-        this.publishSnapshot();
-        return true;
-      }
-      await delay(takeoverRetryMs);
+    const { store, registry, clock, log, loadLimit } = this.services;
+    const startedAt = this.now;
+    const reader = new StoredStateReader(
+      store,
+      registry,
+      clock,
+      log,
+      () => !this.isStopped,
+      () => this.token !== undefined,
+    );
+    this.limitLoad(reader, startedAt);
+    const stored = await reader.read();
+    clearTimeout(this.loadTimer);
+    if (stored === undefined) {
+      return false;
     }
-    return false;
+    const tookMs = Math.round(this.now - startedAt);
+    loadLimit.recordLoad(tookMs);
+    this.loadCost = { tookMs, bytes: stored.bytes };
+    const { runners, jobs, progress, revision } = stored;
+    this.learnedState.restore(stored.learnedState);
+    this.dispatcher.updateRunners(runners, this.now, stored.runnersRequestedAt);
+    this.runnersListedAt = stored.runnersRequestedAt;
+    this.jobLoader.loadAll(jobs, progress);
+    this.watch.start((error) => this.logError(error), revision);
+    this.updateLinks();
+    log.emit(JobEvents.storedStateLoaded, {
+      token: this.termToken,
+      jobs: this.dispatcher.state.jobs.size,
+      progressRecords: progress.length,
+      runners: runners.length,
+      revision,
+      bytes: stored.bytes,
+      tries: stored.tries,
+      tookMs,
+    });
+    this.publishSnapshot();
+    return true;
+  }
+
+  private limitLoad(reader: StoredStateReader, startedAt: number): void {
+    const deadline = this.services.loadLimit.deadlineFrom(this.now);
+    this.loadTimer = setTimeout(() => {
+      // A lease in doubt cannot be ended either: the store is out of reach, perhaps for all.
+      if (this.token === undefined) {
+        this.limitLoad(reader, startedAt);
+      } else {
+        this.giveUpLoad(reader, startedAt);
+      }
+    }, deadline - this.now);
+  }
+
+  private giveUpLoad(reader: StoredStateReader, startedAt: number): void {
+    this.services.loadLimit.recordFailure();
+    const { jobItems, progressRecords, failures, lastFailure = 'none' } = reader.status;
+    this.services.transfer(
+      `stored jobs not loaded after ${Math.round(this.now - startedAt)} ms: ${jobItems} items of ` +
+        `jobs and ${progressRecords} of progress read, ${failures} failed reads, last: ${lastFailure}`,
+    );
   }
 
   private async step(): Promise<void> {
@@ -348,13 +394,14 @@
       return;
     }
     this.isListingRunners = true;
-    this.runnersListedAt = this.now;
+    const requestedAt = this.now;
+    this.runnersListedAt = requestedAt;
     this.services.registry
-      .list(this.now + StoreTiming.callTimeoutMs)
+      .list(requestedAt + StoreTiming.callTimeoutMs)
       .then((runners) => {
         this.isListingRunners = false;
         if (runners.isOk() && !this.isStopped) {
-          this.dispatcher.updateRunners(runners.value, this.now);
+          this.dispatcher.updateRunners(runners.value, this.now, requestedAt);
           this.updateLinks();
           this.wake();
         }
@@ -395,6 +442,7 @@
 
   public [Symbol.dispose](): void {
     this.isStopped = true;
+    clearTimeout(this.loadTimer);
     this.watch[Symbol.dispose]();
     this.links.forEach((link) => link[Symbol.dispose]());
     this.links.clear();
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -8,6 +8,7 @@
 import { WebSocket } from 'ws';
 
 import { instanceChart, Membership, MemberState, suspectTimeoutMs } from './Membership.js';
+import { MeshErrorKind } from './MeshError.js';
 import { MeshNode } from './MeshNode.js';
 import type { Digest } from './Message.js';
 import { decodeMessage, encodeMessage, meshPath, MessageKind } from './Message.js';
@@ -86,6 +87,21 @@
   t.true(decodeMessage(wrong).isErr());
 });
 
+// Guards against peers that reject every digest once a deployment has outgrown a fixed list length.
+test('a digest is accepted whatever the number of services, endpoints and peers', (t) => {
+  const many = <T>(create: (index: number) => T): T[] =>
+    Array.from({ length: 6_000 }, (_, index) => create(index));
+  const digest = createDigest('one', {
+    services: many((index) => ({ service: `service-${index}`, spareSlots: index })),
+    endpoints: many((index) => ({ endpointId: `endpoint-${index}`, inFlight: 1 })),
+    leavingEndpoints: many((index) => `endpoint-${index}`),
+    peers: many((index) => ({ instanceId: `i${index}`, dataCentre: 'a', address: `i${index}:1` })),
+  });
+  const frame = encodeMessage({ kind: MessageKind.digest, digest });
+  t.true(frame.length < maxFrameBytes);
+  t.deepEqual(decodeMessage(frame)._unsafeUnwrap(), { kind: MessageKind.digest, digest });
+});
+
 test('an instance changes from listed to alive to suspect and back to alive', (t) => {
   const members = new Membership('self', 'a');
   members.updateListed([{ instanceId: 'one', dataCentre: 'a', address: 'one:1' }], 0);
@@ -158,6 +174,35 @@
   t.true(perSecond > 0 && perSecond < 2_048);
 });
 
+// Guards against a large message that fails all other requests on its link, again and again.
+test('a message larger than a frame does not end the other requests of its link', async (t) => {
+  await using one = await startNode('one');
+  await using two = await startNode('two');
+  const rejected: string[] = [];
+  two.node.onRejected((reason) => rejected.push(reason));
+  two.node.registerHandler('large', async () => Buffer.alloc(maxFrameBytes));
+  two.node.registerHandler('slow', async () => {
+    await delay(300);
+    return 'answered';
+  });
+  one.node.updateListed([{ instanceId: 'two', dataCentre: 'a', address: two.address }]);
+  const request = (topic: string, body: unknown) =>
+    one.node.request('two', topic, body, clock.monotonic() + 2_000);
+  while ((await request('slow', {})).isErr()) {
+    await delay(10);
+  }
+  const slow = request('slow', {});
+  const startedAt = clock.monotonic();
+  const tooLarge = await request('slow', Buffer.alloc(maxFrameBytes));
+  const unanswered = await request('large', {});
+  const waitedMs = clock.monotonic() - startedAt;
+  t.is((await slow).unwrapOr(undefined), 'answered');
+  t.is(tooLarge._unsafeUnwrapErr().kind, MeshErrorKind.notSent);
+  t.is(unanswered.unwrapOr(undefined), undefined);
+  t.true(waitedMs < 1_000, 'the requester need not wait until its deadline');
+  t.regex(rejected.join(), /response to "large" exceeds the frame limit/);
+});
+
 test('a link with a wrong credential is rejected', async (t) => {
   await using one = await startNode('one');
   await using two = await startNode('two', new Secret('another'));
