A strong instance takes the key after a restart of all instances

Cause: an instance learns the cores of the strongest one from the feed, so that after a restart of all none knows them, nobody delays its election, and one of the 79 small instances (0.324 of a core) of 97 mostly wins. With 378 runners it is overloaded, loses its lease within seconds, and the next small one takes over.

Change: the holder stores the cores of the strongest instance with its learned state, in the same transaction (no further call), and an instance without a feed reads them once before its first election. If the strong ones do not come back, a small one takes the key after its usual delay of at most 0.5 s, and stores what it finds.

Ruled out: a fixed delay for small instances (no instance knows what is small in its deployment); transfers without evidence of a connected follower (they would go round where the strong ones are gone).

--- a/packages/instance/src/Election.ts
+++ b/packages/instance/src/Election.ts
@@ -1,7 +1,8 @@
 import type { Clock, Event, Random } from '@apricothoist/common';
 import { delay, Emitter } from '@apricothoist/common';
+import type { Result } from 'neverthrow';
 
-import type { CoordinationStore } from './CoordinationStore.js';
+import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { absentRevision, CoordinationErrorKind } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
 import type { HolderRecord } from './StoredJob.js';
@@ -87,7 +88,7 @@
     /**
      * Milliseconds that this instance waits before it takes a free key, so that stronger ones win.
      */
-    private readonly electionDelayMs: () => number,
+    private readonly findElectionDelayMs: () => Promise<Result<number, CoordinationError>>,
   ) {}
 
   /** Fencing token while the lease is valid, undefined otherwise. */
@@ -171,8 +172,13 @@
       await delay(this.random.jitter(pollIntervalMs / 2, StoreTiming.retryJitter));
       return;
     }
-    await delay(this.random.fraction() * StoreTiming.retryMs + this.electionDelayMs());
-    if (await this.isTakenAfterDelay()) {
+    const electionDelayMs = await this.findElectionDelayMs();
+    if (electionDelayMs.isErr()) {
+      await delay(this.random.jitter(StoreTiming.retryMs, StoreTiming.retryJitter));
+      return;
+    }
+    await delay(this.random.fraction() * StoreTiming.retryMs + electionDelayMs.value);
+    if (electionDelayMs.value > 0 && (await this.isTaken())) {
       return;
     }
     if (!this.isStopped) {
@@ -181,10 +187,7 @@
   }
 
   // Whether a stronger instance took the key during the election delay.
-  private async isTakenAfterDelay(): Promise<boolean> {
-    if (this.electionDelayMs() === 0) {
-      return false;
-    }
+  private async isTaken(): Promise<boolean> {
     const deadline = this.clock.monotonic() + StoreTiming.callTimeoutMs;
     const found = await this.store.read(StoreKeys.holder, deadline);
     return found.isErr() || found.value !== undefined;
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -21,6 +21,7 @@
 import type { RunnerClient } from './RunnerClient.js';
 import type { RunnerRegistry } from './Scheduling.js';
 import { Scheduling } from './Scheduling.js';
+import { StrongestCores } from './StrongestCores.js';
 
 /** Settings of a job instance. */
 export interface InstanceSettings {
@@ -113,6 +114,7 @@
       new FeedClient(this.statusCache, clock, settings.cores),
     );
     const { name, feedHost, feedPort, cores } = settings;
+    const strongestCores = new StrongestCores(store, clock, this.statusCache);
     const self = { instance: name, feedAddress: `${feedHost}:${feedPort}` };
     this.election = this.disposables.register(
       new Election(
@@ -121,7 +123,7 @@
         random,
         self,
         () => this.feedClient.isActive,
-        () => electionDelayMs(cores, this.statusCache.strongestCores),
+        async () => (await strongestCores.find()).map((most) => electionDelayMs(cores, most)),
       ),
     );
     this.subscribe();
@@ -235,6 +237,7 @@
         resign: (reason) => this.election.resign(reason),
         transfer: (reason) => this.transferLeadership(reason),
         loadLimit: this.loadLimit,
+        strongestCores: () => this.statusCache.strongestCores,
         publish: (update) => this.publish(update),
       },
       term.token,
--- a/packages/instance/src/LearnedStateStore.ts
+++ b/packages/instance/src/LearnedStateStore.ts
@@ -4,6 +4,7 @@
 
 import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
+import type { StrongestCoresRecord } from './StoredJob.js';
 import { parseRecord } from './StoredJob.js';
 import { StoreTiming } from './StoreTiming.js';
 
@@ -11,8 +12,8 @@
 const writeIntervalMs = 4_000;
 
 /**
- * Stores the learned state of the holder for its successor. A successor benefits from it only in
- * the first seconds of its term.
+ * Stores the learned state of the holder for its successor, with the cores of the strongest instance
+ * for the next election. A successor benefits from both only in the first seconds of its term.
  */
 export class LearnedStateStore {
   private writtenAt: number;
@@ -24,6 +25,7 @@
     private readonly dispatcher: Dispatcher,
     private readonly clock: Clock,
     private readonly token: number,
+    private readonly strongestCores: () => number,
     private readonly onFailure: (error: CoordinationError) => void,
   ) {
     this.writtenAt = clock.monotonic();
@@ -51,7 +53,11 @@
     this.isWriting = true;
     const value = JSON.stringify(this.dispatcher.exportLearnedState(now));
     const expect = [{ key: StoreKeys.holder, revision: this.token }];
-    const writes = [{ key: StoreKeys.learnedState, value }];
+    const strongest: StrongestCoresRecord = { cores: this.strongestCores() };
+    const writes = [
+      { key: StoreKeys.learnedState, value },
+      { key: StoreKeys.strongestCores, value: JSON.stringify(strongest) },
+    ];
     const result = await this.store.commit({ expect, writes }, now + StoreTiming.callTimeoutMs);
     this.isWriting = false;
     if (result.isErr()) {
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -68,6 +68,8 @@
   /** Gives the leadership to another instance. */
   readonly transfer: (reason: string) => void;
   readonly loadLimit: LoadLimit;
+  /** Cores of the strongest connected instance, this one included; 0 before the first update. */
+  readonly strongestCores: () => number;
   readonly publish: (update: JobUpdate) => void;
 }
 
@@ -151,6 +153,7 @@
       this.dispatcher,
       clock,
       termToken,
+      services.strongestCores,
       ({ kind, message }) => log.emit(JobEvents.learnedStateNotStored, { kind, message }),
     );
     this.writer = new ProgressWriter(
--- a/packages/instance/src/StoredJob.ts
+++ b/packages/instance/src/StoredJob.ts
@@ -7,10 +7,10 @@
   readonly queue: Queue;
 }
 
+type StoredRecord = StoredJob | ProgressRecord | HolderRecord | LearnedState | StrongestCoresRecord;
+
 /** Parses a stored record; returns undefined if it is malformed. */
-export function parseRecord<T extends StoredJob | ProgressRecord | HolderRecord | LearnedState>(
-  value: string | undefined,
-): T | undefined {
+export function parseRecord<T extends StoredRecord>(value: string | undefined): T | undefined {
   try {
     return value === undefined ? undefined : (JSON.parse(value) as T);
   } catch {
@@ -25,3 +25,8 @@
   /** `host:port` of its feed. */
   readonly feedAddress: string;
 }
+
+/** Record of the processing capacity of the strongest instance. */
+export interface StrongestCoresRecord {
+  readonly cores: number;
+}
--- /dev/null
+++ b/packages/instance/src/StrongestCores.ts
@@ -0,0 +1,43 @@
+import type { Clock } from '@apricothoist/common';
+import type { Result } from 'neverthrow';
+import { ok } from 'neverthrow';
+
+import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
+import type { JobStatusCache } from './JobStatusCache.js';
+import { StoreKeys } from './keys.js';
+import type { StrongestCoresRecord } from './StoredJob.js';
+import { parseRecord } from './StoredJob.js';
+import { StoreTiming } from './StoreTiming.js';
+
+/**
+ * Cores of the strongest instance, as the last holder published them. An instance that has received
+ * no feed since its start, for example after a power failure of all instances, reads them from the
+ * store.
+ */
+export class StrongestCores {
+  /** Undefined until the record was read. */
+  private storedCores: number | undefined;
+
+  public constructor(
+    private readonly store: CoordinationStore,
+    private readonly clock: Clock,
+    private readonly statusCache: JobStatusCache,
+  ) {}
+
+  /** Resolves to 0 if no holder has stored them yet. */
+  public async find(): Promise<Result<number, CoordinationError>> {
+    const publishedCores = this.statusCache.strongestCores;
+    if (publishedCores > 0) {
+      return ok(publishedCores);
+    }
+    if (this.storedCores !== undefined) {
+      return ok(this.storedCores);
+    }
+    const deadline = this.clock.monotonic() + StoreTiming.callTimeoutMs;
+    const found = await this.store.read(StoreKeys.strongestCores, deadline);
+    return found.map((item) => {
+      this.storedCores = parseRecord<StrongestCoresRecord>(item?.value)?.cores ?? 0;
+      return this.storedCores;
+    });
+  }
+}
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -114,6 +114,7 @@
       resign: (reason) => resigned.push(reason),
       transfer: () => {},
       loadLimit: new LoadLimit(),
+      strongestCores: () => 1,
       publish: () => {},
       ...services,
     },
--- a/packages/instance/src/keys.ts
+++ b/packages/instance/src/keys.ts
@@ -7,6 +7,8 @@
   holder: 'holder',
   /** Learned state of the holder, for its successor; `experience` is the stored key. */
   learnedState: 'experience',
+  /** Cores of the strongest instance, for the first election after a restart of all instances. */
+  strongestCores: 'strongest',
   jobPrefix,
   progressPrefix,
   job: (id: string): string => `${jobPrefix}${id}`,
--- a/packages/instance/src/leadershipTransfer.test.ts
+++ b/packages/instance/src/leadershipTransfer.test.ts
@@ -142,7 +142,7 @@
       random,
       self,
       () => false,
-      () => 0,
+      async () => ok(0),
     );
     this.elections.push(election);
     election.start();
--- a/packages/instance/src/takeoverLoad.test.ts
+++ b/packages/instance/src/takeoverLoad.test.ts
@@ -138,6 +138,7 @@
         resign: () => {},
         transfer: (reason) => this.transfers.push(reason),
         loadLimit: new LoadLimit(),
+        strongestCores: () => 1,
         publish: () => {},
       },
       token,
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -222,6 +222,7 @@
       },
       transfer: () => {},
       loadLimit: new LoadLimit(),
+      strongestCores: () => 1,
       publish: () => {},
     };
   }
