--- a/packages/instance/src/JobStatusCache.ts
+++ b/packages/instance/src/JobStatusCache.ts
@@ -1,11 +1,12 @@
 import type { Clock } from '@apricothoist/common';
 import type { JobState, QueueStatus } from '@apricothoist/dispatch';
+import { isFinal } from '@apricothoist/dispatch';
 
 /** Update that the scheduling instance sends to its followers. */
 export interface FeedUpdate {
   /**
-   * Whether this is a snapshot of all jobs and queues, or holds only those that changed. The feed
-   * sends this field as `isWhole`.
+   * Whether this is a snapshot of all open jobs and all queues, or holds only those that changed.
+   * The feed sends this field as `isWhole`.
    */
   readonly isWhole: boolean;
   readonly states: readonly (readonly [id: string, state: JobState])[];
@@ -23,10 +24,19 @@
 
 /** Age in milliseconds beyond which the cache counts as stale; several update intervals. */
 const maxFreshAgeMs = 1_500;
-
-/** Job states and queue status as last received from the scheduling instance. */
+/** Ended jobs whose state is kept; older ones are read from the store. */
+const maxEndedStates = 20_000;
+
+/**
+ * Job states and queue status as last received from the scheduling instance.
+ *
+ * Load pattern: all followers connect to a new scheduling instance at once. A snapshot has only open
+ * jobs, so that it does not grow with the retention period; final states stay valid without it.
+ */
 export class JobStatusCache {
-  private states = new Map<string, JobState>();
+  private openStates = new Map<string, JobState>();
+
+  private readonly endedStates = new Map<string, JobState>();
 
   private queues = new Map<string, QueueStatus>();
 
@@ -47,7 +57,7 @@
   }
 
   public get size(): number {
-    return this.states.size;
+    return this.openStates.size + this.endedStates.size;
   }
 
   /** Milliseconds since the last update. */
@@ -56,7 +66,7 @@
   }
 
   public stateOf(id: string): JobState | undefined {
-    return this.states.get(id);
+    return this.endedStates.get(id) ?? this.openStates.get(id);
   }
 
   /** Status of a queue; that of a queue without work is known from the largest runner alone. */
@@ -74,7 +84,7 @@
   public snapshot(): FeedUpdate {
     return {
       isWhole: true,
-      states: [...this.states],
+      states: [...this.openStates],
       forgotten: [],
       queues: [...this.queues],
       strongestCores: this.strongestCores,
@@ -85,16 +95,32 @@
 
   public apply(update: FeedUpdate): void {
     if (update.isWhole) {
-      this.states = new Map();
+      this.openStates = new Map();
       this.queues = new Map();
       this.backlogs = new Map();
     }
-    update.states.forEach(([id, state]) => this.states.set(id, state));
-    update.forgotten.forEach((id) => this.states.delete(id));
+    update.states.forEach(([id, state]) => this.recordState(id, state));
+    update.forgotten.forEach((id) => {
+      this.openStates.delete(id);
+      this.endedStates.delete(id);
+    });
     update.queues.forEach(([queue, queueStatus]) => this.queues.set(queue, queueStatus));
     update.backlogs?.forEach(([priority, backlogMs]) => this.backlogs.set(priority, backlogMs));
     this.strongestCores = update.strongestCores;
     this.largestRunner = update.largestRunner ?? this.largestRunner;
     this.updatedAt = this.clock.monotonic();
   }
+
+  private recordState(id: string, state: JobState): void {
+    if (!isFinal(state)) {
+      this.openStates.set(id, state);
+      return;
+    }
+    this.openStates.delete(id);
+    this.endedStates.set(id, state);
+    const [oldest] = this.endedStates.keys();
+    if (this.endedStates.size > maxEndedStates && oldest !== undefined) {
+      this.endedStates.delete(oldest);
+    }
+  }
 }
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from '@apricothoist/common';
 import { delay, messageOf } from '@apricothoist/common';
 import type {
+  DecisionKind,
   DecisionLog,
   DispatchBounds,
   ListedRunner,
@@ -44,6 +45,9 @@
  */
 const watchMs = 1_500;
 
+/** Decisions that a load makes once for each stored job and listed runner; J722 has their numbers. */
+const loadDecisions = new Set<DecisionKind>(['jobQueued', 'runnerListed']);
+
 /** Registry of the available runners. */
 export interface RunnerRegistry {
   /** @param deadline monotonic milliseconds */
@@ -107,6 +111,9 @@
 
   private isStopped = false;
 
+  /** Whether the stored state is being applied. */
+  private isLoading = false;
+
   private hasPendingEvents = false;
 
   private resumeLoop: (() => void) | undefined;
@@ -126,7 +133,11 @@
   ) {
     const { store, clock, steadyClock, random, log, bounds, counters } = services;
     const decisionLog: DecisionLog = {
-      decide: (kind, fields) => log.emit(DecisionEvents[kind], fields),
+      decide: (kind, fields) => {
+        if (!this.isLoading || !loadDecisions.has(kind)) {
+          log.emit(DecisionEvents[kind], fields);
+        }
+      },
     };
     this.dispatcher = new Dispatcher(bounds, decisionLog, defaultPolicy, counters);
     if (configuration !== undefined) {
@@ -289,10 +300,12 @@
     loadLimit.recordLoad(tookMs);
     this.loadCost = { tookMs, bytes: stored.bytes };
     const { runners, jobs, progress, revision } = stored;
+    this.isLoading = true;
     this.learnedState.restore(stored.learnedState);
     this.dispatcher.updateRunners(runners, this.now, stored.runnersRequestedAt);
     this.runnersListedAt = stored.runnersRequestedAt;
     this.jobLoader.loadAll(jobs, progress);
+    this.isLoading = false;
     this.watch.start((error) => this.logError(error), revision);
     this.updateLinks();
     log.emit(JobEvents.storedStateLoaded, {
