A start waits for the record of its own job only

Callers saw, with answers of the store lost: no start of any job for tens of seconds while runners were free.

Cause: a scheduling step stored the progress of all changed jobs in batches of 15, one after the other, and waited for the last before it sent a start, handled an end or placed another job. A batch without an answer took 1.2 s and a back-off of up to 0.8 s; its repetition was told "newer than expected", since the first call had been executed, and wrote the same record again.

Change: ProgressQueue writes up to six batches at a time, each with jobs of its own. A start is sent when a record that contains it is stored; states are published and ends acknowledged after their records, ends in the order of the steps. Changes are gathered while a write is younger than 40 ms, so that calls per job do not rise. ProgressWriter takes a record that an unanswered call of its own has stored as stored, and its timeout follows the time of recent writes (0.25 to 1.2 s). Leases of runners whose starts wait count as extended. Removals of old records hold up nothing.

Ruled out: a fixed shorter timeout (a store 80 times slower than usual answers in 324 ms, and each write would be sent twice).

The property test of crashing tasks is split: one test for all rules but one, and one for innocent jobs that are given up, over the same plays and as strict.

--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -153,6 +153,7 @@
   public get status(): Readonly<Record<string, number>> {
     const { ends, overlaps, unsettledStarts, crashes, crashingJobs } = this.counters;
     const loadCost = this.scheduling?.loadCost;
+    const progress = this.scheduling?.progress;
     return {
       run_ends_reported: ends.reported,
       run_ends_refused: ends.refused,
@@ -166,6 +167,9 @@
       stored_state_loaded: loadCost === undefined ? 0 : 1,
       stored_state_load_milliseconds: loadCost?.tookMs ?? 0,
       stored_state_load_bytes: loadCost?.bytes ?? 0,
+      progress_unstored_jobs: progress?.unstoredJobs ?? 0,
+      starts_waiting_for_store: progress?.waitingStarts.length ?? 0,
+      start_store_wait_milliseconds_max: progress?.maxStartWaitMs ?? 0,
       followers: this.feedServer.followers,
       jobs_known: this.statusCache.size,
       board_age_milliseconds: Math.round(this.statusCache.ageMs),
--- /dev/null
+++ b/packages/instance/src/ProgressQueue.ts
@@ -0,0 +1,176 @@
+import type { Clock, Event } from '@apricothoist/common';
+import { Emitter } from '@apricothoist/common';
+import type { JobRun, StartCommand } from '@apricothoist/dispatch';
+
+import type { JobStates, ProgressWriter } from './ProgressWriter.js';
+
+/** Writes that may be open at the same time, each with its own jobs. */
+const maxOpenWrites = 6;
+/**
+ * Age in milliseconds from which an open write counts as late, so that others are sent beside it;
+ * until then, further changes are gathered for one larger write.
+ */
+const lateWriteMs = 40;
+
+/** Number of the last end of an incarnation of a runner that the dispatcher has processed. */
+export interface ProcessedEnd {
+  readonly id: string;
+  readonly processStartedAt: number;
+  readonly end: number;
+}
+
+/** What a scheduling step has changed. */
+export interface StepChanges {
+  readonly jobs: readonly JobRun[];
+  readonly starts: readonly StartCommand[];
+  readonly ends: readonly ProcessedEnd[];
+}
+
+/** What may be done now that the progress of some jobs is stored. */
+export interface StoredChanges {
+  readonly states: JobStates;
+  readonly starts: readonly StartCommand[];
+  readonly ends: readonly ProcessedEnd[];
+}
+
+interface WaitingStart {
+  readonly command: StartCommand;
+  readonly requestedAt: number;
+}
+
+interface WaitingStep {
+  readonly number: number;
+  /** Jobs whose record has to be stored before its ends may be acknowledged. */
+  readonly jobs: Set<JobRun>;
+  readonly ends: readonly ProcessedEnd[];
+}
+
+/**
+ * Queue of jobs whose progress is to be stored. A start waits for the record of its own job only;
+ * a job is part of one write at a time. Ends are acknowledged in the order of the steps, since the
+ * number of an end covers all earlier ones of its runner.
+ *
+ * Load pattern: answers of the store are lost or late. One write that has to be repeated must not
+ * hold up the starts of all other jobs.
+ */
+export class ProgressQueue implements Disposable {
+  private readonly stored = new Emitter<StoredChanges>();
+
+  public readonly onStored: Event<StoredChanges> = this.stored.event;
+
+  private readonly refused = new Emitter<void>();
+
+  /** Fires when a write failed because another instance is the holder. */
+  public readonly onRefused: Event<void> = this.refused.event;
+
+  private readonly unwritten = new Set<JobRun>();
+
+  private readonly written = new Set<JobRun>();
+
+  /** Times at which the open writes were sent. */
+  private readonly openWrites = new Set<{ readonly sentAt: number }>();
+
+  private readonly startsByJob = new Map<string, WaitingStart[]>();
+
+  private steps: WaitingStep[] = [];
+
+  private stepNumber = 0;
+
+  private longestStartWaitMs = 0;
+
+  public constructor(
+    private readonly writer: ProgressWriter,
+    private readonly clock: Clock,
+    private readonly onError: (error: unknown) => void,
+  ) {}
+
+  /** Jobs with progress that is not stored yet. */
+  public get unstoredJobs(): number {
+    return new Set([...this.unwritten, ...this.written]).size;
+  }
+
+  /** Start commands that wait for the record of their job. */
+  public get waitingStarts(): readonly StartCommand[] {
+    return [...this.startsByJob.values()].flat().map(({ command }) => command);
+  }
+
+  /** Longest time in milliseconds that a start has waited for the store in this term. */
+  public get maxStartWaitMs(): number {
+    return Math.round(this.longestStartWaitMs);
+  }
+
+  public add({ jobs, starts, ends }: StepChanges): void {
+    this.stepNumber += 1;
+    jobs.forEach((job) => this.unwritten.add(job));
+    const requestedAt = this.clock.monotonic();
+    starts.forEach((command) => {
+      const waiting = this.startsByJob.get(command.jobId) ?? [];
+      waiting.push({ command, requestedAt });
+      this.startsByJob.set(command.jobId, waiting);
+    });
+    if (jobs.length > 0 || ends.length > 0) {
+      this.steps.push({ number: this.stepNumber, jobs: new Set(jobs), ends });
+    }
+    const storedEnds = this.takeStoredEnds();
+    if (storedEnds.length > 0) {
+      this.stored.fire({ states: [], starts: [], ends: storedEnds });
+    }
+    this.send();
+  }
+
+  private send(): void {
+    while (this.openWrites.size < maxOpenWrites) {
+      const ready = [...this.unwritten].filter((job) => !this.written.has(job));
+      if (ready.length === 0 || (ready.length < this.writer.batchSize && this.isGathering)) {
+        return;
+      }
+      this.write(ready.slice(0, this.writer.batchSize)).catch(this.onError);
+    }
+  }
+
+  private get isGathering(): boolean {
+    const now = this.clock.monotonic();
+    return [...this.openWrites].some(({ sentAt }) => now - sentAt < lateWriteMs);
+  }
+
+  private async write(jobs: readonly JobRun[]): Promise<void> {
+    const openWrite = { sentAt: this.clock.monotonic() };
+    this.openWrites.add(openWrite);
+    const { stepNumber } = this;
+    // Those that are added from now on wait for the next write of their job.
+    const starts = jobs.flatMap(({ id }) => this.startsByJob.get(id) ?? []);
+    jobs.forEach((job) => {
+      this.unwritten.delete(job);
+      this.written.add(job);
+      this.startsByJob.delete(job.id);
+    });
+    const states = await this.writer.write(jobs);
+    this.openWrites.delete(openWrite);
+    jobs.forEach((job) => this.written.delete(job));
+    if (states === undefined) {
+      this.refused.fire();
+      return;
+    }
+    this.steps
+      .filter(({ number }) => number <= stepNumber)
+      .forEach((step) => jobs.forEach((job) => step.jobs.delete(job)));
+    const now = this.clock.monotonic();
+    starts.forEach(({ requestedAt }) => {
+      this.longestStartWaitMs = Math.max(this.longestStartWaitMs, now - requestedAt);
+    });
+    const commands = starts.map(({ command }) => command);
+    this.stored.fire({ states, starts: commands, ends: this.takeStoredEnds() });
+    this.send();
+  }
+
+  private takeStoredEnds(): readonly ProcessedEnd[] {
+    const firstOpen = this.steps.findIndex(({ jobs }) => jobs.size > 0);
+    const count = firstOpen < 0 ? this.steps.length : firstOpen;
+    return this.steps.splice(0, count).flatMap(({ ends }) => ends);
+  }
+
+  public [Symbol.dispose](): void {
+    this.stored[Symbol.dispose]();
+    this.refused[Symbol.dispose]();
+  }
+}
--- a/packages/instance/src/ProgressWriter.ts
+++ b/packages/instance/src/ProgressWriter.ts
@@ -1,21 +1,28 @@
 import type { Clock, Random } from '@apricothoist/common';
 import { delay } from '@apricothoist/common';
-import type { JobRun } from '@apricothoist/dispatch';
+import type { JobRun, JobState } from '@apricothoist/dispatch';
 import { createProgressRecord } from '@apricothoist/dispatch';
 
 import type {
-  CommitResult,
   CoordinationError,
   CoordinationStore,
+  StoredItem,
   Transaction,
 } from './CoordinationStore.js';
+import { absentRevision } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
 import { StoreTiming } from './StoreTiming.js';
 
-/**
- * Timeout in milliseconds of a write of up to 15 jobs; longer than others, as it is repeated whole.
- */
+/** Longest timeout of a write in milliseconds: 15 large jobs over a slow link. */
 const commitTimeoutMs = 1_200;
+/** Shortest timeout of a write in milliseconds, some 60 times the specified 4 ms. */
+const minTimeoutMs = 250;
+/** Timeout as a multiple of the usual time of a write. */
+const usualTimeFactor = 4;
+/** Growth of the timeout with each attempt: a call without an answer may be a slow one. */
+const timeoutGrowth = 1.5;
+/** Share of the usual time that remains after a faster write. */
+const usualTimeDecay = 0.8;
 /**
  * First and longest back-off in milliseconds before a write is retried; starts wait for the write.
  */
@@ -29,8 +36,20 @@
 /** Functions that return the keys of all records of a job. */
 const keysOfJob = [StoreKeys.job, StoreKeys.cancel, StoreKeys.progress];
 
+/** States of jobs as stored. */
+export type JobStates = readonly (readonly [id: string, state: JobState])[];
+
+/** What one call of a write has sent; a repeated call sends the progress made meanwhile too. */
+interface Attempt {
+  readonly states: JobStates;
+  readonly writes: Transaction['writes'];
+}
+
 /** Stores the progress of jobs; writes fail unless the token is current. */
 export class ProgressWriter {
+  /** Milliseconds that answered writes have taken lately. */
+  private usualTimeMs = 0;
+
   public constructor(
     private readonly store: CoordinationStore,
     private readonly clock: Clock,
@@ -42,17 +61,9 @@
     private readonly onFailure: (error: CoordinationError, jobs: number) => void,
   ) {}
 
-  /**
-   * Resolves to true once all progress is stored, or to false when this instance stops scheduling.
-   */
-  public async write(jobs: readonly JobRun[]): Promise<boolean> {
-    const size = Math.floor((this.store.maxTransactionEntries - holderEntries) / jobEntries);
-    for (let first = 0; first < jobs.length; first += size) {
-      if (!(await this.writeBatch(jobs.slice(first, first + size)))) {
-        return false;
-      }
-    }
-    return true;
+  /** Largest number of jobs in a write. */
+  public get batchSize(): number {
+    return Math.floor((this.store.maxTransactionEntries - holderEntries) / jobEntries);
   }
 
   /**
@@ -80,62 +91,95 @@
     return removed;
   }
 
-  // Retries until the outcome is certain. A delayed earlier call cannot take effect after its
-  // retry: both expect the same revisions, and only one of them can match.
-  private async writeBatch(jobs: readonly JobRun[]): Promise<boolean> {
+  /**
+   * Stores the progress of up to `batchSize` jobs. Resolves to their stored states, or to undefined
+   * when this instance stops scheduling.
+   *
+   * Retries until the outcome is certain. A delayed earlier call cannot take effect after its retry:
+   * both expect the same revisions, and only one of them can match.
+   */
+  public async write(jobs: readonly JobRun[]): Promise<JobStates | undefined> {
+    const attempts: Attempt[] = [];
     let backoffMs = firstRetryMs;
     while (this.isScheduling()) {
-      const deadline = this.clock.monotonic() + commitTimeoutMs;
-      const result = await this.store.commit(this.createTransaction(jobs), deadline);
+      const sentAt = this.clock.monotonic();
+      const deadline = sentAt + this.timeoutMs(attempts.length);
+      const attempt = createAttempt(jobs);
+      attempts.push(attempt);
+      const result = await this.store.commit(this.createTransaction(jobs, attempt), deadline);
       if (result.isOk()) {
-        const isStored = this.readResult(jobs, result.value);
-        if (isStored !== undefined) {
-          return isStored;
+        const tookMs = this.clock.monotonic() - sentAt;
+        this.usualTimeMs = Math.max(tookMs, this.usualTimeMs * usualTimeDecay);
+      }
+      if (result.isErr()) {
+        this.onFailure(result.error, jobs.length);
+      } else if (result.value.isCommitted) {
+        const { revision } = result.value;
+        jobs.forEach((job) => Object.assign(job, { storedVersion: revision }));
+        return attempt.states;
+      } else {
+        const { items } = result.value;
+        if (items.find(({ key }) => key === StoreKeys.holder)?.revision !== this.token) {
+          return undefined;
+        }
+        const stored = attempts.find(({ writes }) => isStoredIn(items, writes));
+        this.adoptRevisions(jobs, items, stored !== undefined);
+        if (stored !== undefined) {
+          return stored.states;
         }
         backoffMs = 0;
-      } else {
-        this.onFailure(result.error, jobs.length);
       }
       await delay(this.random.jitter(backoffMs, StoreTiming.retryJitter));
       backoffMs = Math.min(maxRetryMs, Math.max(firstRetryMs, backoffMs * 2));
     }
-    return false;
+    return undefined;
+  }
+
+  private timeoutMs(attempt: number): number {
+    const firstMs = Math.max(minTimeoutMs, this.usualTimeMs * usualTimeFactor);
+    return Math.min(commitTimeoutMs, firstMs * timeoutGrowth ** attempt);
   }
 
-  private createTransaction(jobs: readonly JobRun[]): Transaction {
+  private createTransaction(jobs: readonly JobRun[], { writes }: Attempt): Transaction {
     const holder = { key: StoreKeys.holder, revision: this.token };
     const expected = jobs.map((job) => ({
       key: StoreKeys.progress(job.id),
       revision: job.storedVersion,
     }));
-    const writes = jobs.map((job) => ({
-      key: StoreKeys.progress(job.id),
-      value: JSON.stringify(createProgressRecord(job)),
-    }));
     return { expect: [holder, ...expected], writes };
   }
 
-  // True if stored, false if another instance holds the key, undefined if the write must be
-  // retried.
-  private readResult(jobs: readonly JobRun[], result: CommitResult): boolean | undefined {
-    if (result.isCommitted) {
-      jobs.forEach((job) => {
-        job.storedVersion = result.revision;
-      });
-      return true;
-    }
-    const revisions = new Map(result.items.map(({ key, revision }) => [key, revision]));
-    if (revisions.get(StoreKeys.holder) !== this.token) {
-      return false;
-    }
+  private adoptRevisions(
+    jobs: readonly JobRun[],
+    items: readonly StoredItem[],
+    isOwnWrite: boolean,
+  ): void {
+    const revisions = new Map(items.map(({ key, revision }) => [key, revision]));
     jobs.forEach((job) => {
       const key = StoreKeys.progress(job.id);
-      const revision = revisions.get(key) ?? 0;
+      const revision = revisions.get(key) ?? absentRevision;
       if (revision !== job.storedVersion) {
-        this.onConflict(key);
+        if (!isOwnWrite) {
+          this.onConflict(key);
+        }
         job.storedVersion = revision;
       }
     });
-    return undefined;
   }
 }
+
+function createAttempt(jobs: readonly JobRun[]): Attempt {
+  return {
+    states: jobs.map(({ id, state }) => [id, state] as const),
+    writes: jobs.map((job) => ({
+      key: StoreKeys.progress(job.id),
+      value: JSON.stringify(createProgressRecord(job)),
+    })),
+  };
+}
+
+/** Whether the items show that a call whose answer was lost has stored all of its writes. */
+function isStoredIn(items: readonly StoredItem[], writes: Transaction['writes']): boolean {
+  const values = new Map(items.map(({ key, value }) => [key, value]));
+  return writes.every(({ key, value }) => values.get(key) === value);
+}
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -26,6 +26,8 @@
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
 import { CommandSender } from './CommandSender.js';
 import { PrefixFollower } from './PrefixFollower.js';
+import type { ProcessedEnd } from './ProgressQueue.js';
+import { ProgressQueue } from './ProgressQueue.js';
 import { ProgressWriter } from './ProgressWriter.js';
 import type { RunnerClient } from './RunnerClient.js';
 import type { RunnerLinkOwner } from './RunnerLink.js';
@@ -103,6 +105,9 @@
 
   private readonly writer: ProgressWriter;
 
+  /** Progress that is not stored yet, with the starts that wait for it. */
+  public readonly progress: ProgressQueue;
+
   private readonly commandSender: CommandSender;
 
   private readonly jobLoader: StoredJobLoader;
@@ -126,6 +131,8 @@
 
   private isListingRunners = false;
 
+  private isRemovingJobs = false;
+
   public constructor(
     private readonly services: SchedulingServices,
     private readonly termToken: number,
@@ -176,6 +183,20 @@
       (key) => log.emit(JobEvents.progressConflict, { key }),
       ({ kind, message }, jobs) => log.emit(JobEvents.progressNotStored, { kind, message, jobs }),
     );
+    this.progress = new ProgressQueue(this.writer, clock, (error) => this.logError(error));
+    this.progress.onStored(({ states, starts, ends }) => {
+      ends.forEach(({ id, processStartedAt, end }) =>
+        this.lastStoredEnds.set(id, { processStartedAt, end }),
+      );
+      this.feedUpdates.recordStates(states);
+      // While the lease is in doubt, the sender does not send them, and their runs end at once.
+      starts.forEach((command) => this.commandSender.start(command));
+      if (ends.length > 0) {
+        this.updateLinks();
+      }
+      this.wake();
+    });
+    this.progress.onRefused(() => this.resign('progress cannot be stored'));
   }
 
   public get token(): number | undefined {
@@ -258,7 +279,7 @@
       // The lease may be temporarily in doubt, for example after a suspension of the machine; only
       // the election ends a term.
       if (this.token !== undefined) {
-        await this.step();
+        this.step();
       }
       await this.waitForEvents();
     }
@@ -343,43 +364,49 @@
     );
   }
 
-  private async step(): Promise<void> {
+  private step(): void {
     this.listRunnersIfDue();
     const { clock, steadyClock } = this.services;
     const commands = this.dispatcher.step(this.now, clock.wall(), steadyClock.monotonic());
     commands.stops.forEach((command) => this.commandSender.stop(command));
-    const changed = this.dispatcher.takeUnstoredJobs();
-    const ends = [...this.dispatcher.state.runners.values()]
-      .filter(({ id, processedEndNumber }) => this.lastStoredEnd(id) !== processedEndNumber)
-      .map(({ id, listed, processedEndNumber }) => ({
-        id,
-        processStartedAt: listed.processStartedAt,
-        end: processedEndNumber,
-      }));
-    if (changed.length > 0 && !(await this.writer.write(changed))) {
-      this.resign('progress cannot be stored');
-      return;
-    }
-    ends.forEach(({ id, processStartedAt, end }) =>
-      this.lastStoredEnds.set(id, { processStartedAt, end }),
+    this.progress.add({
+      jobs: this.dispatcher.takeUnstoredJobs(),
+      starts: commands.starts,
+      ends: this.unstoredEnds,
+    });
+    // A run must not count as ended by its lease while its start waits for the store.
+    this.progress.waitingStarts.forEach(({ runnerId }) =>
+      this.dispatcher.recordLeaseExtension(runnerId, steadyClock.monotonic()),
     );
-    this.feedUpdates.recordStates(changed.map((job) => [job.id, job.state]));
-    // While the lease is in doubt, the sender does not send them, and their runs end at once.
-    commands.starts.forEach((command) => this.commandSender.start(command));
     this.updateLinks();
-    await this.removeExpiredJobs();
+    this.removeExpiredJobs().catch((error: unknown) => this.logError(error));
     if (this.token !== undefined) {
       this.publishChanges();
       this.learnedState.writeIfDue().catch((error: unknown) => this.logError(error));
     }
   }
 
+  private get unstoredEnds(): readonly ProcessedEnd[] {
+    return [...this.dispatcher.state.runners.values()]
+      .filter(({ id, processedEndNumber }) => this.lastStoredEnd(id) !== processedEndNumber)
+      .map(({ id, listed, processedEndNumber }) => ({
+        id,
+        processStartedAt: listed.processStartedAt,
+        end: processedEndNumber,
+      }));
+  }
+
   private async removeExpiredJobs(): Promise<void> {
+    if (this.isRemovingJobs) {
+      return;
+    }
     const expiredJobIds = this.dispatcher.takeExpiredJobIds();
     if (expiredJobIds.length === 0) {
       return;
     }
+    this.isRemovingJobs = true;
     const removed = await this.writer.remove(expiredJobIds);
+    this.isRemovingJobs = false;
     const removedIds = [...removed.keys()];
     this.jobLoader.recordRemoved(removed);
     this.dispatcher.forgetJobs(removedIds);
@@ -460,6 +487,7 @@
     this.isStopped = true;
     clearTimeout(this.loadTimer);
     this.watch[Symbol.dispose]();
+    this.progress[Symbol.dispose]();
     this.links.forEach((link) => link[Symbol.dispose]());
     this.links.clear();
     this.resumeLoop?.();
