--- a/packages/dispatch/src/loadPatterns.test.ts
+++ b/packages/dispatch/src/loadPatterns.test.ts
@@ -8,6 +8,7 @@
 import test from 'ava';
 
 import type { DispatchPolicy } from './DispatchState.js';
+import { maxLateFactor } from './DispatchOrder.js';
 import { defaultPolicy } from './DispatchState.js';
 import type { Queue } from './Job.js';
 
@@ -118,3 +119,39 @@
   };
   t.deepEqual(play(), play());
 });
+
+/** Tasks of one accelerator that arrive faster than the service can run them. */
+function narrowOverload(accelerators: number, untilMs: number): JobArrival[] {
+  const durationMs = 6_000;
+  const tasks = 12;
+  const factor = 1.5;
+  const intervalMs = (tasks * durationMs) / (accelerators * factor);
+  const arrivals: JobArrival[] = [];
+  for (let at = 1_000; at < untilMs; at += intervalMs) {
+    const steps = [{ count: tasks, declaredMs: durationMs }];
+    // Tasks of unequal length free one accelerator at a time.
+    arrivals.push({ at, queue: 'batch', steps, durationMs: durationMs * (1 + (at % 7) / 14) });
+  }
+  return arrivals;
+}
+
+const wideGang = { count: 11, isGang: true, prefersOneRack: true, declaredMs: 10_000 };
+const wholeRunner = { cpu: 13_000, memoryMb: 53_000, accelerators: 8 };
+
+// Gangs of 22 tasks waited for more than 60 s while narrow work of lower priority took each gap.
+test('a gang of a whole rack ends before it loses its value while narrow work fills every gap', (t) => {
+  const { stretch, targetMs } = replayQueues.large as Queue;
+  const durationMs = 10_000;
+  const arrivedAt = 8_000;
+  const simulation = new ReplaySimulation(6, 12);
+  const gang: JobArrival = {
+    at: arrivedAt,
+    queue: 'large',
+    steps: [{ ...wideGang, size: wholeRunner }],
+    durationMs,
+  };
+  simulation.run(110_000, [...narrowOverload(6 * 12 * 8, 110_000), gang]);
+  const job = [...simulation.jobs.values()].find(({ queue }) => queue === 'large');
+  const tookMs = (job?.endedAt || Infinity) - arrivedAt;
+  t.true(tookMs <= maxLateFactor * (stretch * durationMs + targetMs), `took ${tookMs} ms`);
+});
