A holder whose lease is in doubt disconnects its followers

Cause: followers do not look at the key while the feed is alive. Since steps no longer wait for the store, a holder that cannot write goes on publishing until its lease is in doubt (19.94 s), and the idle timeout of the followers (1.5 s) ran from there.

Change: the feed is closed when the lease is in doubt, and opened again by the next update if a renewal succeeds. Failed writes of progress are logged once a second with their number: six open writes wrote 90 lines in 6 s.

--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -211,9 +211,14 @@
     this.configurationFollower.onCallEnd((error) => this.recordStoreCall(error?.message));
     this.election.onTermStart((term) => this.beginScheduling(term));
     this.election.onTermEnd((reason) => this.endScheduling(reason));
-    this.election.onDoubtChange((isInDoubt) =>
-      log.emit(isInDoubt ? JobEvents.leaseInDoubt : JobEvents.leaseConfirmed),
-    );
+    this.election.onDoubtChange((isInDoubt) => {
+      log.emit(isInDoubt ? JobEvents.leaseInDoubt : JobEvents.leaseConfirmed);
+      if (isInDoubt) {
+        // Followers look for a successor at once instead of after their idle timeout. The next
+        // update opens the feed again.
+        this.feedServer.close();
+      }
+    });
     this.election.onHolderFound((location) => this.feedClient.connect(location));
     this.feedClient.onChange(({ isConnected, reason }) =>
       log.emit(isConnected ? JobEvents.feedConnected : JobEvents.feedLost, { reason }),
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -46,6 +46,8 @@
  * Milliseconds that a watch of accepted jobs waits; an unresponsive watch is detected soon after.
  */
 const watchMs = 1_500;
+/** Milliseconds between two lines about failed writes of progress. */
+const failureLogIntervalMs = 1_000;
 
 /** Decisions that a load makes once for each stored job and listed runner; J722 has their numbers. */
 const loadDecisions = new Set<DecisionKind>(['jobQueued', 'runnerListed']);
@@ -133,6 +135,11 @@
 
   private isRemovingJobs = false;
 
+  /** Failed writes of progress in this term. */
+  private unstoredFailures = 0;
+
+  private unstoredLoggedAt = -Infinity;
+
   public constructor(
     private readonly services: SchedulingServices,
     private readonly termToken: number,
@@ -181,7 +188,7 @@
       termToken,
       () => !this.isStopped,
       (key) => log.emit(JobEvents.progressConflict, { key }),
-      ({ kind, message }, jobs) => log.emit(JobEvents.progressNotStored, { kind, message, jobs }),
+      (error, jobs) => this.logUnstored(error, jobs),
     );
     this.progress = new ProgressQueue(this.writer, clock, (error) => this.logError(error));
     this.progress.onStored(({ states, starts, ends }) => {
@@ -479,6 +486,16 @@
     link.start((error) => this.logError(error));
   }
 
+  // Several writes fail at the same time while the store is out of reach.
+  private logUnstored({ kind, message }: CoordinationError, jobs: number): void {
+    this.unstoredFailures += 1;
+    if (this.now - this.unstoredLoggedAt >= failureLogIntervalMs) {
+      this.unstoredLoggedAt = this.now;
+      const failures = this.unstoredFailures;
+      this.services.log.emit(JobEvents.progressNotStored, { kind, message, jobs, failures });
+    }
+  }
+
   private logError(error: unknown): void {
     this.services.log.emit(JobEvents.unexpectedError, { message: messageOf(error) });
   }
