Progress queue: starts of open writes keep their leases, ends are queued once; a small holder keeps the known strength

- Starts whose write was open were no longer listed as waiting, so that their runners' leases were not extended and a write of over 6 s would have ended runs that had not been sent.
- A failure in a write was logged but left its jobs marked as being written; it now ends the term, as before.
- A small holder stored its own strength as the greatest until followers had connected, which made the next election random again.
For the first 10 s of a term the strength known at its start is kept.

Tests: *starts and ends that wait for an open write are kept once*; *a small holder does not forget the strong instances in its first seconds* (fails with the 10 s set to 0).

--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -57,6 +57,11 @@
 const maxReadyAgeShare = 0.48;
 /** Milliseconds before the revocation bound from which requests with an API key are refused. */
 const keyMarginMs = 800;
+/**
+ * Milliseconds of a term in which followers may still connect. Until then the holder does not publish
+ * a lower strength than its predecessor.
+ */
+const inheritedCoresMs = 10_000;
 
 /** Job instance: serves client requests, and schedules jobs while it holds the leadership lease. */
 export class JobInstance implements AsyncDisposable {
@@ -80,6 +85,14 @@
 
   private readonly transferPolicy: LeadershipTransferPolicy;
 
+  private readonly strongestCores: StrongestCores;
+
+  /** Strongest instance as known at the start of the term, until its followers have connected. */
+  private inheritedCores = 0;
+
+  /** Monotonic milliseconds. */
+  private inheritedCoresUntil = -Infinity;
+
   private readonly loadLimit = new LoadLimit();
 
   private readonly onError = (error: unknown): void => {
@@ -114,7 +127,7 @@
       new FeedClient(this.statusCache, clock, settings.cores),
     );
     const { name, feedHost, feedPort, cores } = settings;
-    const strongestCores = new StrongestCores(store, clock, this.statusCache);
+    this.strongestCores = new StrongestCores(store, clock, this.statusCache);
     const self = { instance: name, feedAddress: `${feedHost}:${feedPort}` };
     this.election = this.disposables.register(
       new Election(
@@ -123,7 +136,7 @@
         random,
         self,
         () => this.feedClient.isActive,
-        async () => (await strongestCores.find()).map((most) => electionDelayMs(cores, most)),
+        async () => (await this.strongestCores.find()).map((most) => electionDelayMs(cores, most)),
       ),
     );
     this.subscribe();
@@ -237,6 +250,8 @@
   private beginScheduling(term: LeadershipTerm): void {
     this.services.log.emit(JobEvents.leadershipGained, { token: term.token });
     this.feedClient.disconnect('this instance became the scheduling instance');
+    this.inheritedCores = this.strongestCores.known;
+    this.inheritedCoresUntil = this.services.clock.monotonic() + inheritedCoresMs;
     this.scheduling = new Scheduling(
       {
         ...this.services,
@@ -257,12 +272,14 @@
 
   private publish(jobUpdate: JobUpdate): void {
     const followerCores = this.feedServer.strongestCores;
-    const strongestCores = Math.max(this.settings.cores, followerCores);
+    const now = this.services.clock.monotonic();
+    const inheritedCores = now < this.inheritedCoresUntil ? this.inheritedCores : 0;
+    const strongestCores = Math.max(this.settings.cores, followerCores, inheritedCores);
     const update = { ...jobUpdate, strongestCores };
     this.statusCache.apply(update);
     this.feedServer.open();
     this.feedServer.publish(update);
-    if (this.transferPolicy.isDue(followerCores, this.services.clock.monotonic())) {
+    if (this.transferPolicy.isDue(followerCores, now)) {
       this.transferLeadership(`a follower has ${followerCores} cores`);
     }
   }
--- a/packages/instance/src/ProgressQueue.test.ts
+++ b/packages/instance/src/ProgressQueue.test.ts
@@ -1,6 +1,6 @@
 import { delay, Random } from '@apricothoist/common';
-import type { ProgressRecord } from '@apricothoist/dispatch';
-import { CallKind, plainStep } from '@apricothoist/testing';
+import type { JobRun, ProgressRecord, StartCommand } from '@apricothoist/dispatch';
+import { CallKind, ManualClock, plainStep } from '@apricothoist/testing';
 import test from 'ava';
 import type { Result } from 'neverthrow';
 import { err } from 'neverthrow';
@@ -8,6 +8,8 @@
 import type { CoordinationStore, Transaction } from './CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
+import { ProgressQueue } from './ProgressQueue.js';
+import type { JobStates, ProgressWriter } from './ProgressWriter.js';
 import { delivered, VirtualDeployment } from './testing/VirtualDeployment.js';
 
 const latencyMs = 2;
@@ -75,6 +77,35 @@
   t.true((startedAt.get(idOf(2)) ?? Infinity) - submittedAt <= startBoundMs);
 });
 
+// Ends are reported again until they are acknowledged, and steps go on while a write is open.
+test.serial('starts and ends that wait for an open write are kept once', async (t) => {
+  const job = {} as JobRun;
+  const command = { jobId: 'job', runnerId: 'r1' } as StartCommand;
+  const end = { id: 'r1', processStartedAt: 1, end: 3 };
+  const acknowledged: unknown[] = [];
+  let finish: (states: JobStates) => void = () => {};
+  const writer: Pick<ProgressWriter, 'batchSize' | 'write'> = {
+    batchSize: 15,
+    write: () =>
+      new Promise<JobStates>((resolve) => {
+        finish = resolve;
+      }),
+  };
+  using queue = new ProgressQueue(writer, new ManualClock(), (error) => t.fail(String(error)));
+  queue.onStored(({ starts, ends }) => acknowledged.push(...starts, ...ends));
+  queue.add({ jobs: [Object.assign(job, { id: 'job' })], starts: [command], ends: [end] });
+  for (let step = 0; step < 100; step += 1) {
+    queue.add({ jobs: [], starts: [], ends: [end] });
+  }
+  t.deepEqual(queue.waitingStarts, [command], 'also while the write is open');
+  t.deepEqual(acknowledged, []);
+  finish([]);
+  await Promise.resolve();
+  await Promise.resolve();
+  t.deepEqual(acknowledged, [command, end]);
+  t.deepEqual(queue.waitingStarts, []);
+});
+
 interface LossPlay {
   /** Starts that were sent before a record with their run was stored. */
   readonly early: string[];
--- a/packages/instance/src/ProgressQueue.ts
+++ b/packages/instance/src/ProgressQueue.ts
@@ -72,6 +72,12 @@
 
   private readonly startsByJob = new Map<string, WaitingStart[]>();
 
+  /** Starts whose record is not stored yet, those of open writes included. */
+  private readonly unsentStarts = new Set<WaitingStart>();
+
+  /** Last queued end of each runner. */
+  private readonly queuedEnds = new Map<string, ProcessedEnd>();
+
   private steps: WaitingStep[] = [];
 
   private stepNumber = 0;
@@ -79,7 +85,7 @@
   private longestStartWaitMs = 0;
 
   public constructor(
-    private readonly writer: ProgressWriter,
+    private readonly writer: Pick<ProgressWriter, 'batchSize' | 'write'>,
     private readonly clock: Clock,
     private readonly onError: (error: unknown) => void,
   ) {}
@@ -91,7 +97,7 @@
 
   /** Start commands that wait for the record of their job. */
   public get waitingStarts(): readonly StartCommand[] {
-    return [...this.startsByJob.values()].flat().map(({ command }) => command);
+    return [...this.unsentStarts].map(({ command }) => command);
   }
 
   /** Longest time in milliseconds that a start has waited for the store in this term. */
@@ -104,12 +110,13 @@
     jobs.forEach((job) => this.unwritten.add(job));
     const requestedAt = this.clock.monotonic();
     starts.forEach((command) => {
-      const waiting = this.startsByJob.get(command.jobId) ?? [];
-      waiting.push({ command, requestedAt });
-      this.startsByJob.set(command.jobId, waiting);
+      const start = { command, requestedAt };
+      this.unsentStarts.add(start);
+      this.startsByJob.set(command.jobId, [...(this.startsByJob.get(command.jobId) ?? []), start]);
     });
-    if (jobs.length > 0 || ends.length > 0) {
-      this.steps.push({ number: this.stepNumber, jobs: new Set(jobs), ends });
+    const newEnds = ends.filter((end) => this.queueEnd(end));
+    if (jobs.length > 0 || newEnds.length > 0) {
+      this.steps.push({ number: this.stepNumber, jobs: new Set(jobs), ends: newEnds });
     }
     const storedEnds = this.takeStoredEnds();
     if (storedEnds.length > 0) {
@@ -118,6 +125,17 @@
     this.send();
   }
 
+  // Returns false if the end is queued already: it is reported again until it is acknowledged.
+  private queueEnd(processed: ProcessedEnd): boolean {
+    const { id, processStartedAt, end } = processed;
+    const queued = this.queuedEnds.get(id);
+    if (queued?.processStartedAt === processStartedAt && queued.end === end) {
+      return false;
+    }
+    this.queuedEnds.set(id, processed);
+    return true;
+  }
+
   private send(): void {
     while (this.openWrites.size < maxOpenWrites) {
       const ready = [...this.unwritten].filter((job) => !this.written.has(job));
@@ -155,8 +173,9 @@
       .filter(({ number }) => number <= stepNumber)
       .forEach((step) => jobs.forEach((job) => step.jobs.delete(job)));
     const now = this.clock.monotonic();
-    starts.forEach(({ requestedAt }) => {
-      this.longestStartWaitMs = Math.max(this.longestStartWaitMs, now - requestedAt);
+    starts.forEach((start) => {
+      this.unsentStarts.delete(start);
+      this.longestStartWaitMs = Math.max(this.longestStartWaitMs, now - start.requestedAt);
     });
     const commands = starts.map(({ command }) => command);
     this.stored.fire({ states, starts: commands, ends: this.takeStoredEnds() });
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -190,7 +190,10 @@
       (key) => log.emit(JobEvents.progressConflict, { key }),
       (error, jobs) => this.logUnstored(error, jobs),
     );
-    this.progress = new ProgressQueue(this.writer, clock, (error) => this.logError(error));
+    this.progress = new ProgressQueue(this.writer, clock, (error) => {
+      this.logError(error);
+      this.resign('unexpected error while progress was stored');
+    });
     this.progress.onStored(({ states, starts, ends }) => {
       ends.forEach(({ id, processStartedAt, end }) =>
         this.lastStoredEnds.set(id, { processStartedAt, end }),
--- a/packages/instance/src/StrongestCores.ts
+++ b/packages/instance/src/StrongestCores.ts
@@ -24,6 +24,11 @@
     private readonly statusCache: JobStatusCache,
   ) {}
 
+  /** Last known value without a call; 0 if unknown. */
+  public get known(): number {
+    return this.statusCache.strongestCores || (this.storedCores ?? 0);
+  }
+
   /** Resolves to 0 if no holder has stored them yet. */
   public async find(): Promise<Result<number, CoordinationError>> {
     const publishedCores = this.statusCache.strongestCores;
--- a/packages/instance/src/electionAfterRestart.test.ts
+++ b/packages/instance/src/electionAfterRestart.test.ts
@@ -137,3 +137,21 @@
   await election.run(electionBoundMs);
   t.deepEqual(election.holderCores, [smallCores]);
 });
+
+// A small holder that no strong instance has reached yet must not make the next election random.
+test.serial(
+  'a small holder does not forget the strong instances in its first seconds',
+  async (t) => {
+    await using election = new VirtualElection(2);
+    await election.start([largeCores]);
+    await election.run(settledMs);
+    await election.stop();
+    await election.start([smallCores]);
+    await election.run(settledMs);
+    t.deepEqual(election.holderCores, [smallCores]);
+    await election.stop();
+    await election.start([...Array<number>(smallInstances).fill(smallCores), largeCores]);
+    await election.run(electionBoundMs);
+    t.deepEqual(election.holderCores, [largeCores]);
+  },
+);
