Parallel writes and a closed feed no longer fill a slow link; a lease in doubt is told to followers

- Full batches were sent beside each other and repeated after 0.25 s.
On a slow link they delay each other and the renewals of the lease, whose failure suspends all commands.
Now a write is sent beside others only once they are late (twice the usual time, 40 ms at least), and an unanswered write counts towards the usual time, so that timeouts grow.
- The feed was closed at each lease in doubt; on such a link leases are in doubt for 0.1 to 0.6 s now and then, and all followers connected again.
Now followers are told: they look at the key and keep the connection and what they know.
The next update takes it back; a follower that finds another holder changes its connection.

--- a/packages/instance/src/FeedClient.ts
+++ b/packages/instance/src/FeedClient.ts
@@ -28,6 +28,10 @@
 
   private isConnected = false;
 
+  private isHolderInDoubt = false;
+
+  private address = '';
+
   private readonly timer: NodeJS.Timeout;
 
   public constructor(
@@ -39,15 +43,18 @@
     this.timer = setInterval(() => this.checkIdle(), checkIntervalMs);
   }
 
-  /** Whether a connection is open or being established. */
+  /** Whether a connection to a holder with a valid lease is open or being established. */
   public get isActive(): boolean {
-    return this.socket !== undefined;
+    return this.socket !== undefined && !this.isHolderInDoubt;
   }
 
   public connect(location: HolderLocation): void {
-    if (this.socket !== undefined) {
+    if (this.socket !== undefined && location.feedAddress === this.address) {
       return;
     }
+    this.disconnect('another instance is the scheduling instance');
+    this.address = location.feedAddress;
+    this.isHolderInDoubt = false;
     const socket = new WebSocket(feedUrl(location.feedAddress, this.cores), {
       handshakeTimeout: connectTimeoutMs,
       perMessageDeflate: false,
@@ -71,7 +78,11 @@
     }
     this.receivedAt = this.clock.monotonic();
     try {
-      this.statusCache.apply(unpack(data) as FeedUpdate);
+      const update = unpack(data) as FeedUpdate;
+      this.isHolderInDoubt = update.isInDoubt === true;
+      if (!this.isHolderInDoubt) {
+        this.statusCache.apply(update);
+      }
     } catch (error) {
       this.drop(socket, `unreadable update: ${messageOf(error)}`);
       return;
--- a/packages/instance/src/FeedServer.ts
+++ b/packages/instance/src/FeedServer.ts
@@ -72,6 +72,12 @@
     });
   }
 
+  /** Tells all followers that the lease is in doubt; the next update takes that back. */
+  public publishDoubt(): void {
+    const nothing = { isWhole: false, states: [], forgotten: [], queues: [], strongestCores: 0 };
+    this.publish({ ...nothing, isInDoubt: true });
+  }
+
   private accept(socket: WebSocket, request: IncomingMessage): void {
     socket.on('error', this.onError);
     // A snapshot of a stale cache would count as recent at the follower.
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -227,9 +227,8 @@
     this.election.onDoubtChange((isInDoubt) => {
       log.emit(isInDoubt ? JobEvents.leaseInDoubt : JobEvents.leaseConfirmed);
       if (isInDoubt) {
-        // Followers look for a successor at once instead of after their idle timeout. The next
-        // update opens the feed again.
-        this.feedServer.close();
+        // Followers look for a successor at once instead of after their idle timeout.
+        this.feedServer.publishDoubt();
       }
     });
     this.election.onHolderFound((location) => this.feedClient.connect(location));
--- a/packages/instance/src/JobStatusCache.ts
+++ b/packages/instance/src/JobStatusCache.ts
@@ -4,6 +4,8 @@
 
 /** Update that the scheduling instance sends to its followers. */
 export interface FeedUpdate {
+  /** Whether the lease of the sender is in doubt; the update has nothing else then. */
+  readonly isInDoubt?: boolean;
   /**
    * Whether this is a snapshot of all open jobs and all queues, or holds only those that changed.
    * The feed sends this field as `isWhole`.
--- a/packages/instance/src/ProgressQueue.ts
+++ b/packages/instance/src/ProgressQueue.ts
@@ -7,10 +7,13 @@
 /** Writes that may be open at the same time, each with its own jobs. */
 const maxOpenWrites = 6;
 /**
- * Age in milliseconds from which an open write counts as late, so that others are sent beside it;
- * until then, further changes are gathered for one larger write.
+ * Shortest age in milliseconds from which an open write counts as late, so that another is sent
+ * beside it. Until then further changes are gathered for the next one: writes that share a slow link
+ * delay each other and the renewals of the lease.
  */
-const lateWriteMs = 40;
+const minLateWriteMs = 40;
+/** Age from which a write counts as late, as a multiple of the usual time of a write. */
+const lateWriteFactor = 2;
 
 /** Number of the last end of an incarnation of a runner that the dispatcher has processed. */
 export interface ProcessedEnd {
@@ -85,7 +88,7 @@
   private longestStartWaitMs = 0;
 
   public constructor(
-    private readonly writer: Pick<ProgressWriter, 'batchSize' | 'write'>,
+    private readonly writer: Pick<ProgressWriter, 'batchSize' | 'usualTimeMs' | 'write'>,
     private readonly clock: Clock,
     private readonly onError: (error: unknown) => void,
   ) {}
@@ -139,7 +142,7 @@
   private send(): void {
     while (this.openWrites.size < maxOpenWrites) {
       const ready = [...this.unwritten].filter((job) => !this.written.has(job));
-      if (ready.length === 0 || (ready.length < this.writer.batchSize && this.isGathering)) {
+      if (ready.length === 0 || this.isGathering) {
         return;
       }
       this.write(ready.slice(0, this.writer.batchSize)).catch(this.onError);
@@ -148,6 +151,7 @@
 
   private get isGathering(): boolean {
     const now = this.clock.monotonic();
+    const lateWriteMs = Math.max(minLateWriteMs, this.writer.usualTimeMs * lateWriteFactor);
     return [...this.openWrites].some(({ sentAt }) => now - sentAt < lateWriteMs);
   }
 
--- a/packages/instance/src/ProgressWriter.ts
+++ b/packages/instance/src/ProgressWriter.ts
@@ -47,8 +47,7 @@
 
 /** Stores the progress of jobs; writes fail unless the token is current. */
 export class ProgressWriter {
-  /** Milliseconds that answered writes have taken lately. */
-  private usualTimeMs = 0;
+  private recentTimeMs = 0;
 
   public constructor(
     private readonly store: CoordinationStore,
@@ -61,6 +60,11 @@
     private readonly onFailure: (error: CoordinationError, jobs: number) => void,
   ) {}
 
+  /** Milliseconds that a write has taken lately; grows while writes are unanswered. */
+  public get usualTimeMs(): number {
+    return this.recentTimeMs;
+  }
+
   /** Largest number of jobs in a write. */
   public get batchSize(): number {
     return Math.floor((this.store.maxTransactionEntries - holderEntries) / jobEntries);
@@ -109,7 +113,11 @@
       const result = await this.store.commit(this.createTransaction(jobs, attempt), deadline);
       if (result.isOk()) {
         const tookMs = this.clock.monotonic() - sentAt;
-        this.usualTimeMs = Math.max(tookMs, this.usualTimeMs * usualTimeDecay);
+        this.recentTimeMs = Math.max(tookMs, this.recentTimeMs * usualTimeDecay);
+      } else if (this.clock.monotonic() >= deadline) {
+        // The link may be full; shorter timeouts would fill it with repeated writes.
+        const unansweredMs = (this.clock.monotonic() - sentAt) / usualTimeFactor;
+        this.recentTimeMs = Math.max(this.recentTimeMs, unansweredMs);
       }
       if (result.isErr()) {
         this.onFailure(result.error, jobs.length);
@@ -136,7 +144,7 @@
   }
 
   private timeoutMs(attempt: number): number {
-    const firstMs = Math.max(minTimeoutMs, this.usualTimeMs * usualTimeFactor);
+    const firstMs = Math.max(minTimeoutMs, this.recentTimeMs * usualTimeFactor);
     return Math.min(commitTimeoutMs, firstMs * timeoutGrowth ** attempt);
   }
 
