Starts share the link of the holder in turn

Cause: all starts of a step were sent at once with 250 ms for the first call. A start carries up to 4.5 KB, so that 14 fill a link of 2 Mbit/s for 250 ms; the others timed out, were sent again up to twice, and filled it further.

--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -200,7 +200,7 @@
       );
       this.feedUpdates.recordStates(states);
       // While the lease is in doubt, the sender does not send them, and their runs end at once.
-      starts.forEach((command) => this.commandSender.start(command));
+      this.commandSender.start(starts);
       if (ends.length > 0) {
         this.updateLinks();
       }
