--- a/packages/instance/src/ProgressQueue.ts
+++ b/packages/instance/src/ProgressQueue.ts
@@ -66,13 +66,15 @@
   /** Fires when a write failed because another instance is the holder. */
   public readonly onRefused: Event<void> = this.refused.event;
 
+  /** Jobs with progress that no write contains yet. */
   private readonly unwritten = new Set<JobRun>();
 
-  private readonly written = new Set<JobRun>();
+  private readonly beingWritten = new Set<JobRun>();
 
   /** Times at which the open writes were sent. */
   private readonly openWrites = new Set<{ readonly sentAt: number }>();
 
+  /** Starts that no write contains yet. */
   private readonly startsByJob = new Map<string, WaitingStart[]>();
 
   /** Starts whose record is not stored yet, those of open writes included. */
@@ -81,6 +83,7 @@
   /** Last queued end of each runner. */
   private readonly queuedEnds = new Map<string, ProcessedEnd>();
 
+  /** Steps with progress that is not stored or ends that are not acknowledged, oldest first. */
   private steps: WaitingStep[] = [];
 
   private stepNumber = 0;
@@ -95,7 +98,7 @@
 
   /** Jobs with progress that is not stored yet. */
   public get unstoredJobs(): number {
-    return new Set([...this.unwritten, ...this.written]).size;
+    return new Set([...this.unwritten, ...this.beingWritten]).size;
   }
 
   /** Start commands that wait for the record of their job. */
@@ -141,7 +144,7 @@
 
   private send(): void {
     while (this.openWrites.size < maxOpenWrites) {
-      const ready = [...this.unwritten].filter((job) => !this.written.has(job));
+      const ready = [...this.unwritten].filter((job) => !this.beingWritten.has(job));
       if (ready.length === 0 || this.isGathering) {
         return;
       }
@@ -163,12 +166,12 @@
     const starts = jobs.flatMap(({ id }) => this.startsByJob.get(id) ?? []);
     jobs.forEach((job) => {
       this.unwritten.delete(job);
-      this.written.add(job);
+      this.beingWritten.add(job);
       this.startsByJob.delete(job.id);
     });
     const states = await this.writer.write(jobs);
     this.openWrites.delete(openWrite);
-    jobs.forEach((job) => this.written.delete(job));
+    jobs.forEach((job) => this.beingWritten.delete(job));
     if (states === undefined) {
       this.refused.fire();
       return;
