Revert "Unanswered starts of one spell quarantine a runner once"

Cause: a runner that hangs answers reports but no starts. Counted as one fault, its quarantine grew from 0.5 s by one doubling for each gang that was placed there and lost more than a second; counted once a start it stayed out for long.

--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -80,9 +80,6 @@
   /** Monotonic time before which a task that may crash the runner keeps it to itself. */
   public closedUntil = -Infinity;
 
-  /** Monotonic time of the last fault indication. */
-  public faultRecordedAt = -Infinity;
-
   /** Fault indications since the last successful run. */
   public faultCount = 0;
 
--- a/packages/dispatch/src/RunnerQuarantine.ts
+++ b/packages/dispatch/src/RunnerQuarantine.ts
@@ -32,22 +32,14 @@
  * Quarantines a runner for a while after a fault indication.
  *
  * Load pattern: a runner that fails every task immediately also frees its capacity immediately, and
- * would receive every waiting task in turn. Commands that were issued before the last fault was
- * recorded show nothing new: all members of a gang on a runner that is cut off fail at once.
- *
- * @param issuedAt monotonic time at which the command that shows the fault was issued; Infinity if
- *   no command shows it
+ * would receive every waiting task in turn.
  */
 export function reportRunnerFault(
   state: DispatchState,
   runner: Runner,
   fault: RunnerFault,
   now: number,
-  issuedAt = Infinity,
 ): void {
-  if (issuedAt <= runner.faultRecordedAt) {
-    return;
-  }
   if (fault === RunnerFault.failing && runner.failedJobs.size < failedJobsUntilQuarantine) {
     return;
   }
@@ -56,7 +48,6 @@
     initialQuarantineMs[fault] * 2 ** runner.faultCount,
   );
   runner.faultCount += 1;
-  runner.faultRecordedAt = now;
   runner.quarantinedUntil = Math.max(runner.quarantinedUntil, now + quarantineMs);
   state.log.decide('runnerQuarantined', {
     runner: runner.id,
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -118,7 +118,7 @@
     }
     const fault = faultByOutcome[outcome];
     if (fault !== undefined) {
-      reportRunnerFault(this.state, runner, fault, now, group.startRequestedAt);
+      reportRunnerFault(this.state, runner, fault, now);
     }
     const isUnanswered = outcome === StartOutcome.unknown;
     runner.isReportDue ||= outcome === StartOutcome.leaseExpired;
