Evacuation of data centres; one place decides what a runner may be used for

Conditions on the use of a runner stood twice, for placement and for a start about to be sent. Change: RunnerAvailability combines all restrictions; EvacuationRequests follows the operator's keys with the watch of the configuration (no further calls); a holder whose knowledge is older than the bound starts nothing. RunnerChecks and drainingRunners are split from Dispatcher.

--- a/packages/dispatch/src/Admission.ts
+++ b/packages/dispatch/src/Admission.ts
@@ -76,7 +76,11 @@
   };
 }
 
-/** Computes the status of every queue, for admission on all instances. */
+/**
+ * Computes the status of every queue, for admission on all instances.
+ *
+ * @param runners those that count as capacity for the work ahead
+ */
 export function describeQueues(
   queues: ReadonlyMap<string, Queue>,
   jobs: Iterable<JobRun>,
@@ -97,8 +101,7 @@
     const work = (workByPriority.get(priority) ?? 0) + remainingAcceleratorMs(job, estimates);
     workByPriority.set(priority, work);
   });
-  const usableRunners = [...runners].filter(({ isListed, isDraining }) => isListed && !isDraining);
-  const sizes = usableRunners.map(({ listed }) => listed.capacity.accelerators);
+  const sizes = [...runners].map(({ listed }) => listed.capacity.accelerators);
   const accelerators = sizes.reduce((sum, size) => sum + size, 0);
   return new Map(
     [...queues.values()].map((queue): [string, QueueStatus] => {
--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -8,6 +8,7 @@
 import type { Placement } from './CapacityLedger.js';
 import { countFittingMembers, isEligible, CapacityLedger } from './CapacityLedger.js';
 import type { Runner } from './Runner.js';
+import { isUsable } from './RunnerAvailability.js';
 import type { TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 import type { TaskGroup } from './TaskGroup.js';
 import { TaskGroupPhase } from './TaskGroup.js';
@@ -33,12 +34,6 @@
  * requirement allows three seconds.
  */
 const maxIdleWaitMs = 1_500;
-/**
- * Milliseconds for which a listing shows the capacity of runners without a check of their own. With
- * a heartbeat and the call it stays below the 4.5 s after which a start must not exceed a shrunk
- * capacity.
- */
-const maxListingAgeMs = 2_000;
 /** Milliseconds for which a task group that may crash its runners waits for empty ones. */
 const maxIsolationWaitMs = 1_000;
 /** The same for one of which only few more starts are allowed. */
@@ -334,32 +329,3 @@
     });
   }
 }
-
-/**
- * Whether the capacity of the runner is known well enough. A runner without a check of its own starts
- * what exceeds it, and its capacity may have shrunk since the listing.
- */
-export function hasKnownCapacity(state: DispatchState, runner: Runner, now: number): boolean {
-  const isGuarded = !state.unguardedServices.has(runner.listed.service);
-  const { cpu, memoryMb, accelerators } = runner.freeCapacity;
-  return (
-    isGuarded ||
-    (now - state.listingRequestedAt <= maxListingAgeMs &&
-      Math.min(cpu, memoryMb, accelerators) >= 0)
-  );
-}
-
-/** Whether new tasks may start on the runner. */
-export function isUsable(state: DispatchState, runner: Runner, now: number): boolean {
-  return (
-    runner.isListed &&
-    !runner.isDraining &&
-    runner.isFenced &&
-    !runner.isEntryOutdated &&
-    !runner.isReportDue &&
-    !runner.isBlockedByStray &&
-    hasKnownCapacity(state, runner, now) &&
-    runner.unansweredCalls === 0 &&
-    runner.quarantinedUntil <= now
-  );
-}
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -1,4 +1,5 @@
 import { DurationEstimates } from './DurationEstimates.js';
+import { Evacuations } from './Evacuations.js';
 import type { Account, Queue } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import { RunCounters } from './RunCounters.js';
@@ -55,6 +56,7 @@
   | 'crashRetracted'
   | 'reportOutdated'
   | 'runnerQuarantined'
+  | 'evacuationsChanged'
   | 'runnerLeasesExpired'
   | 'orphanStopped';
 
@@ -70,8 +72,16 @@
    * Slowdown factor of a task outside the rack of its data, or of a gang spread over several racks.
    */
   readonly farSlowdown: number;
+  /**
+   * Longest time from the operator's request to evacuate a data centre until nothing is started
+   * there any more; Infinity where no data centre is evacuated.
+   */
+  readonly evacuationMs: number;
 }
 
+/** Milliseconds before the bound of an evacuation at which an unconfirmed view counts as outdated. */
+const evacuationMarginMs = 800;
+
 /** Scheduling policy; may differ between deployments. */
 export interface DispatchPolicy {
   /**
@@ -120,6 +130,9 @@
   /** Services whose runners do not check their capacity. */
   public unguardedServices: ReadonlySet<string> = new Set();
 
+  /** Data centres that the operator evacuates. */
+  public readonly evacuations: Evacuations;
+
   /** Monotonic time at which the latest listing of the runners was requested. */
   public listingRequestedAt = -Infinity;
 
@@ -143,5 +156,7 @@
     public readonly log: DecisionLog,
     public readonly policy: DispatchPolicy,
     public readonly counters: RunCounters = new RunCounters(),
-  ) {}
+  ) {
+    this.evacuations = new Evacuations(bounds.evacuationMs - evacuationMarginMs);
+  }
 }
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,6 +1,6 @@
 import type { QueueStatus } from './Admission.js';
 import { describeQueues } from './Admission.js';
-import { DispatchRound, hasKnownCapacity } from './DispatchRound.js';
+import { DispatchRound } from './DispatchRound.js';
 import type {
   DecisionLog,
   DispatchBounds,
@@ -18,15 +18,15 @@
 import type { RunnerReport } from './ReportHandler.js';
 import { ReportHandler } from './ReportHandler.js';
 import { ProgressRestorer } from './ProgressRestorer.js';
-import type { ListedRunner, Runner } from './Runner.js';
+import { vacateDrainingRunners } from './drainingRunners.js';
+import type { ListedRunner } from './Runner.js';
 import { extendLease, occupantKey } from './Runner.js';
 import type { RunCounters } from './RunCounters.js';
+import { isLastingCapacity, sendRestriction } from './RunnerAvailability.js';
+import { RunnerChecks } from './RunnerChecks.js';
 import { RunnerCrashes } from './RunnerCrashes.js';
 import { RunnerListing } from './RunnerListing.js';
 import { StartOutcome } from './StartOutcome.js';
-import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
-import type { TaskGroup } from './TaskGroup.js';
-import { TaskGroupPhase } from './TaskGroup.js';
 import { recordStopResponse, TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 
 /**
@@ -34,18 +34,10 @@
  * against each of these.
  */
 const checkIntervalMs = 90;
-/** Milliseconds without progress after which a running task counts as stalled. */
-const stallTimeoutMs = 2_500;
-/** Progress in percent of a gang member that has done its work and waits for the other members. */
-const completePercent = 100;
-/** Milliseconds after which a stop command without effect is sent again. */
-const stopRetryMs = 700;
 /** Milliseconds for which ended jobs and sent stop commands are retained. */
 const retentionMs = 600_000;
 /** Milliseconds between removals of records; each one delays a step by some store calls. */
 const removalIntervalMs = 5_000;
-/** Milliseconds between the latest end of a stop and the departure of its runner. */
-const evacuationMarginMs = 400;
 
 /** Commands to be sent to runners. */
 export interface Commands {
@@ -66,6 +58,8 @@
 
   private readonly reportHandler: ReportHandler;
 
+  private readonly runnerChecks: RunnerChecks;
+
   private readonly listing: RunnerListing;
 
   private readonly progressRestorer: ProgressRestorer;
@@ -79,8 +73,6 @@
 
   private nextCheckAt = 0;
 
-  private readonly stopSentAt = new Map<string, number>();
-
   public constructor(
     bounds: DispatchBounds,
     log: DecisionLog,
@@ -91,6 +83,7 @@
     this.lifecycle = new TaskGroupLifecycle(this.state);
     this.crashes = new RunnerCrashes(this.state);
     this.reportHandler = new ReportHandler(this.state, this.lifecycle, this.crashes);
+    this.runnerChecks = new RunnerChecks(this.state, this.lifecycle, this.reportHandler);
     this.listing = new RunnerListing(this.state, this.reportHandler);
     this.progressRestorer = new ProgressRestorer(this.state, this.lifecycle, this.crashes);
   }
@@ -166,6 +159,23 @@
     this.isRoundDue = true;
   }
 
+  /**
+   * Applies the operator's requests to evacuate data centres.
+   *
+   * @param confirmedAt monotonic time; every request acknowledged before is among them
+   */
+  public evacuate(dataCentres: ReadonlySet<string>, confirmedAt: number): void {
+    const { evacuations, log } = this.state;
+    const former = evacuations.dataCentres;
+    evacuations.record(dataCentres, confirmedAt);
+    const isChanged =
+      former.size !== dataCentres.size || [...former].some((name) => !dataCentres.has(name));
+    if (isChanged) {
+      this.isRoundDue = true;
+      log.decide('evacuationsChanged', { dataCentres: [...dataCentres].join(',') });
+    }
+  }
+
   /** Applies a report; returns false if it is that of an earlier incarnation of the runner. */
   public applyReport(runnerId: string, report: RunnerReport, now: number): boolean {
     const runner = this.state.runners.get(runnerId);
@@ -216,10 +226,7 @@
     const member = runner?.occupants.get(occupantKey(task, run))?.member;
     return (
       runner?.listed.processStartedAt === processStartedAt &&
-      runner.isListed &&
-      !runner.isDraining &&
-      runner.isFenced &&
-      hasKnownCapacity(this.state, runner, now) &&
+      sendRestriction(this.state, runner, now) === undefined &&
       member !== undefined &&
       !member.isStopRequested
     );
@@ -263,8 +270,8 @@
   public step(now: number, wallNow: number, steadyNow: number): Commands {
     if (now >= this.nextCheckAt) {
       this.nextCheckAt = now + checkIntervalMs;
-      this.state.runners.forEach((runner) => this.checkRunner(runner, now, steadyNow));
-      this.evacuateDraining(now);
+      this.runnerChecks.run(now, steadyNow);
+      vacateDrainingRunners(this.state, this.lifecycle, now);
       this.removeExpired(now);
       this.isRoundDue = true;
     }
@@ -276,7 +283,7 @@
     const { starts, stops } = this.state;
     this.state.starts = [];
     this.state.stops = [];
-    stops.forEach(({ task, run }) => this.stopSentAt.set(occupantKey(task, run), now));
+    this.runnerChecks.recordStops(stops, now);
     return { starts, stops };
   }
 
@@ -319,7 +326,10 @@
   /** Status of each queue, for the admission of new jobs. */
   public describeQueues(): Map<string, QueueStatus> {
     const { queues, openJobs, runners, estimates } = this.state;
-    return describeQueues(queues, openJobs, runners.values(), estimates);
+    const capacity = [...runners.values()].filter((runner) =>
+      isLastingCapacity(this.state, runner),
+    );
+    return describeQueues(queues, openJobs, capacity, estimates);
   }
 
   private createDueGroups(wallNow: number): void {
@@ -330,80 +340,6 @@
     });
   }
 
-  private checkRunner(runner: Runner, now: number, steadyNow: number): void {
-    if (runner.hasUnknownLease) {
-      runner.hasUnknownLease = false;
-      extendLease(runner, this.state.bounds, steadyNow);
-    }
-    const runs = runner.occupants.size + runner.runningStrays.length;
-    if (runs > 0 && runner.leaseEnd > 0 && steadyNow > runner.leaseEnd) {
-      this.state.log.decide('runnerLeasesExpired', {
-        runner: runner.id,
-        tasks: runs,
-        unresponsiveMs: Math.round(now - runner.reportedAt),
-        expiredMs: Math.round(steadyNow - runner.leaseEnd),
-      });
-      this.reportHandler.endAllRuns(runner, now, steadyNow);
-    }
-    runner.strays.forEach(({ task, run }) => {
-      if (runner.isListed && this.isStopDue(task, run, now)) {
-        this.state.stops.push({ runnerId: runner.id, task, run });
-      }
-    });
-    runner.occupants.forEach(({ group, member, run }) => {
-      if (member.isStopRequested && this.isStopDue(member.task, run, now)) {
-        this.state.stops.push({ runnerId: runner.id, task: member.task, run });
-      }
-      const isStalled =
-        group.phase === TaskGroupPhase.running &&
-        !group.step.isLasting &&
-        member.percent < completePercent &&
-        runner.unansweredCalls === 0 &&
-        now - member.progressedAt > stallTimeoutMs &&
-        runner.reportedAt - member.progressedAt > stallTimeoutMs;
-      if (isStalled) {
-        reportRunnerFault(this.state, runner, RunnerFault.stalled, now);
-        this.lifecycle.abort(group, `stalled at ${member.percent} %`, now);
-      }
-    });
-  }
-
-  private isStopDue(task: string, run: number, now: number): boolean {
-    const sentAt = this.stopSentAt.get(occupantKey(task, run));
-    return sentAt !== undefined && now - sentAt > stopRetryMs;
-  }
-
-  // Task groups that save their progress on a stop are stopped as late as possible. Others are
-  // moved only if that loses less work than waiting, because the runner may stay longer than
-  // announced.
-  private evacuateDraining(now: number): void {
-    const { stopMs } = this.state.bounds;
-    this.state.runners.forEach((runner) => {
-      if (!runner.isDraining || runner.departsAt === Infinity) {
-        return;
-      }
-      const remainsMs = Math.max(0, runner.departsAt - now);
-      runner.occupants.forEach(({ group }) => {
-        const groupLeftMs = this.remainingMs(group, now);
-        if (group.phase !== TaskGroupPhase.running || groupLeftMs <= remainsMs) {
-          return;
-        }
-        const ranMs = now - group.startedAt;
-        const isDue = group.step.savesProgress
-          ? remainsMs <= stopMs + evacuationMarginMs
-          : groupLeftMs - remainsMs > ranMs + remainsMs;
-        if (isDue) {
-          this.lifecycle.abort(group, 'runner is draining', now);
-        }
-      });
-    });
-  }
-
-  private remainingMs(group: TaskGroup, now: number): number {
-    const expectedMs = this.state.estimates.estimate(group.job.queue.name, group.step);
-    return Math.max(0, expectedMs - (now - group.startedAt));
-  }
-
   private removeExpired(now: number): void {
     this.state.runners.forEach((runner) => {
       const mayForget = runner.strays.size === 0 || now - runner.reportedAt > retentionMs;
@@ -417,10 +353,6 @@
         .map(({ id }) => id);
       this.nextRemovalAt = this.expiredJobIds.length > 0 ? now + removalIntervalMs : now;
     }
-    this.stopSentAt.forEach((sentAt, key) => {
-      if (now - sentAt > retentionMs) {
-        this.stopSentAt.delete(key);
-      }
-    });
+    this.runnerChecks.forgetStops(now - retentionMs);
   }
 }
--- /dev/null
+++ b/packages/dispatch/src/RunnerChecks.ts
@@ -0,0 +1,86 @@
+import type { DispatchState, StopCommand } from './DispatchState.js';
+import type { ReportHandler } from './ReportHandler.js';
+import type { Runner } from './Runner.js';
+import { extendLease, occupantKey } from './Runner.js';
+import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
+import { TaskGroupPhase } from './TaskGroup.js';
+import type { TaskGroupLifecycle } from './TaskGroupLifecycle.js';
+
+/** Milliseconds without progress after which a running task counts as stalled. */
+const stallTimeoutMs = 2_500;
+/** Progress in percent of a gang member that has done its work and waits for the other members. */
+const completePercent = 100;
+/** Milliseconds after which a stop command without effect is sent again. */
+const stopRetryMs = 700;
+
+/** Time-driven checks of the runs on all runners: expired leases, stops to repeat, stalled tasks. */
+export class RunnerChecks {
+  private readonly stopSentAt = new Map<string, number>();
+
+  public constructor(
+    private readonly state: DispatchState,
+    private readonly lifecycle: TaskGroupLifecycle,
+    private readonly reportHandler: ReportHandler,
+  ) {}
+
+  /** @param steadyNow reading of a clock that never runs ahead; leases are judged by it */
+  public run(now: number, steadyNow: number): void {
+    this.state.runners.forEach((runner) => this.checkRunner(runner, now, steadyNow));
+  }
+
+  public recordStops(stops: readonly StopCommand[], now: number): void {
+    stops.forEach(({ task, run }) => this.stopSentAt.set(occupantKey(task, run), now));
+  }
+
+  /** Forgets the stop commands that were sent before a monotonic time. */
+  public forgetStops(before: number): void {
+    this.stopSentAt.forEach((sentAt, key) => {
+      if (sentAt < before) {
+        this.stopSentAt.delete(key);
+      }
+    });
+  }
+
+  private checkRunner(runner: Runner, now: number, steadyNow: number): void {
+    if (runner.hasUnknownLease) {
+      runner.hasUnknownLease = false;
+      extendLease(runner, this.state.bounds, steadyNow);
+    }
+    const runs = runner.occupants.size + runner.runningStrays.length;
+    if (runs > 0 && runner.leaseEnd > 0 && steadyNow > runner.leaseEnd) {
+      this.state.log.decide('runnerLeasesExpired', {
+        runner: runner.id,
+        tasks: runs,
+        unresponsiveMs: Math.round(now - runner.reportedAt),
+        expiredMs: Math.round(steadyNow - runner.leaseEnd),
+      });
+      this.reportHandler.endAllRuns(runner, now, steadyNow);
+    }
+    runner.strays.forEach(({ task, run }) => {
+      if (runner.isListed && this.isStopDue(task, run, now)) {
+        this.state.stops.push({ runnerId: runner.id, task, run });
+      }
+    });
+    runner.occupants.forEach(({ group, member, run }) => {
+      if (member.isStopRequested && this.isStopDue(member.task, run, now)) {
+        this.state.stops.push({ runnerId: runner.id, task: member.task, run });
+      }
+      const isStalled =
+        group.phase === TaskGroupPhase.running &&
+        !group.step.isLasting &&
+        member.percent < completePercent &&
+        runner.unansweredCalls === 0 &&
+        now - member.progressedAt > stallTimeoutMs &&
+        runner.reportedAt - member.progressedAt > stallTimeoutMs;
+      if (isStalled) {
+        reportRunnerFault(this.state, runner, RunnerFault.stalled, now);
+        this.lifecycle.abort(group, `stalled at ${member.percent} %`, now);
+      }
+    });
+  }
+
+  private isStopDue(task: string, run: number, now: number): boolean {
+    const sentAt = this.stopSentAt.get(occupantKey(task, run));
+    return sentAt !== undefined && now - sentAt > stopRetryMs;
+  }
+}
--- a/packages/instance/src/ConfigurationFollower.test.ts
+++ b/packages/instance/src/ConfigurationFollower.test.ts
@@ -31,6 +31,7 @@
     clock,
     new Random(1),
     key,
+    key,
     decode,
   );
   const applied = new Promise((resolve) => {
@@ -76,6 +77,7 @@
     clock,
     new Random(1),
     key,
+    key,
     decode,
   );
   let oldestMs = 0;
--- a/packages/instance/src/ConfigurationFollower.ts
+++ b/packages/instance/src/ConfigurationFollower.ts
@@ -4,6 +4,7 @@
 
 import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
+import type { FollowedItems } from './PrefixFollower.js';
 import { PrefixFollower } from './PrefixFollower.js';
 
 /**
@@ -26,6 +27,9 @@
 
   private readonly follower: PrefixFollower;
 
+  /** Fires for all items below the prefix, of which the configuration is one. */
+  public readonly onItems: Event<FollowedItems>;
+
   /** Fires after each call with its error, if any. */
   public readonly onCallEnd: Event<CoordinationError | undefined>;
 
@@ -40,6 +44,7 @@
   private confirmedAt = -Infinity;
 
   /**
+   * @param prefix prefix of the operator's keys, which are followed with one watch
    * @param key store key of the configuration
    * @param decode decodes the stored value
    */
@@ -47,11 +52,13 @@
     store: CoordinationStore,
     private readonly clock: Clock,
     random: Random,
+    prefix: string,
     private readonly key: string,
     private readonly decode: (value: string) => Result<OperatorConfiguration, Error>,
   ) {
     const settings = { watchMs, watchesPerRead };
-    this.follower = new PrefixFollower(store, clock, random, key, settings);
+    this.follower = new PrefixFollower(store, clock, random, prefix, settings);
+    this.onItems = this.follower.onItems;
     this.onCallEnd = this.follower.onCallEnd;
     this.follower.onItems(({ items, requestedAt }) => {
       this.apply(items);
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'neverthrow';
 
 import type { JobUpdate } from './FeedUpdateBuffer.js';
+import { EvacuationRequests } from './EvacuationRequests.js';
 import { electionDelayMs, LeadershipTransferPolicy } from './ElectionDelay.js';
 import { ConfigurationFollower } from './ConfigurationFollower.js';
 import type { CoordinationStore } from './CoordinationStore.js';
@@ -33,9 +34,20 @@
   readonly cores: number;
   /** Milliseconds after its revocation at which an API key must be rejected. */
   readonly revokeMs: number;
+  /** Names of all data centres; undefined if they are not known. */
+  readonly dataCentres?: ReadonlySet<string>;
   readonly bounds: DispatchBounds;
 }
 
+/** Keys that the operator writes to the store. */
+export interface OperatorKeys {
+  /** Prefix of all of them. */
+  readonly prefix: string;
+  readonly configuration: string;
+  /** Prefix of the requests to evacuate a data centre; its name follows. */
+  readonly evacuations: string;
+}
+
 export interface InstanceServices {
   readonly store: CoordinationStore;
   readonly registry: RunnerRegistry;
@@ -46,7 +58,7 @@
   readonly steadyClock: Clock;
   readonly random: Random;
   readonly log: EventLog;
-  readonly configurationKey: string;
+  readonly operatorKeys: OperatorKeys;
   readonly decodeConfiguration: (value: string) => Result<OperatorConfiguration, Error>;
 }
 
@@ -95,6 +107,11 @@
 
   private readonly loadLimit = new LoadLimit();
 
+  private readonly evacuations: EvacuationRequests;
+
+  /** Unknown data centres whose evacuation was requested and logged. */
+  private readonly unknownDataCentres = new Set<string>();
+
   private readonly onError = (error: unknown): void => {
     this.services.log.emit(JobEvents.unexpectedError, { message: String(error) });
   };
@@ -118,10 +135,12 @@
         store,
         clock,
         random,
-        services.configurationKey,
+        services.operatorKeys.prefix,
+        services.operatorKeys.configuration,
         services.decodeConfiguration,
       ),
     );
+    this.evacuations = new EvacuationRequests(services.operatorKeys.evacuations);
     this.feedServer = this.disposables.register(new FeedServer(this.statusCache, this.onError));
     this.feedClient = this.disposables.register(
       new FeedClient(this.statusCache, clock, settings.cores),
@@ -185,6 +204,7 @@
       start_store_wait_milliseconds_max: progress?.maxStartWaitMs ?? 0,
       followers: this.feedServer.followers,
       jobs_known: this.statusCache.size,
+      data_centres_evacuated: this.evacuations.dataCentres.size,
       board_age_milliseconds: Math.round(this.statusCache.ageMs),
       configuration_version: this.configurationFollower.current?.version ?? 0,
       configuration_age_milliseconds: Math.round(this.configurationFollower.ageMs),
@@ -218,6 +238,10 @@
       });
       this.scheduling?.configure(configuration);
     });
+    this.configurationFollower.onItems((items) => {
+      this.evacuations.apply(items);
+      this.reportUnknownDataCentres();
+    });
     this.configurationFollower.onUnreadable((message) =>
       log.emit(JobEvents.configurationUnreadable, { message }),
     );
@@ -237,6 +261,16 @@
     );
   }
 
+  private reportUnknownDataCentres(): void {
+    const { dataCentres } = this.settings;
+    this.evacuations.dataCentres.forEach((name) => {
+      if (dataCentres?.has(name) === false && !this.unknownDataCentres.has(name)) {
+        this.unknownDataCentres.add(name);
+        this.services.log.emit(JobEvents.operatorRequestInvalid, { evacuatedDataCentre: name });
+      }
+    });
+  }
+
   private recordStoreCall(failure: string | undefined): void {
     const isUnavailable = failure !== undefined;
     if (isUnavailable !== this.isStoreUnavailable) {
@@ -256,6 +290,7 @@
         ...this.services,
         bounds: this.settings.bounds,
         counters: this.counters,
+        evacuations: this.evacuations,
         token: () => this.election.token,
         resign: (reason) => this.election.resign(reason),
         transfer: (reason) => this.transferLeadership(reason),
--- a/packages/instance/src/PrefixFollower.ts
+++ b/packages/instance/src/PrefixFollower.ts
@@ -13,6 +13,10 @@
    * Monotonic milliseconds; the items so far include every change acknowledged before this time.
    */
   readonly requestedAt: number;
+  /** Store revision at which the items were read; some may be newer. */
+  readonly revision: number;
+  /** Whether these are all items below the prefix; other ones have been deleted by `revision`. */
+  readonly isComplete: boolean;
 }
 
 export interface FollowSettings {
@@ -105,7 +109,7 @@
     this.watchesSinceRead = 0;
     // The watch may have gone further meanwhile.
     this.revision = Math.max(this.revision ?? 0, listed.value.revision);
-    this.itemsReceived.fire({ items: listed.value.items, requestedAt });
+    this.itemsReceived.fire({ ...listed.value, requestedAt, isComplete: true });
     return undefined;
   }
 
@@ -127,7 +131,7 @@
     }
     this.watchesSinceRead += 1;
     this.revision = changes.value.revision;
-    this.itemsReceived.fire({ items: changes.value.items, requestedAt });
+    this.itemsReceived.fire({ ...changes.value, requestedAt, isComplete: false });
     return true;
   }
 
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -17,6 +17,7 @@
 import type { JobUpdate } from './FeedUpdateBuffer.js';
 import { FeedUpdateBuffer, isIdle } from './FeedUpdateBuffer.js';
 import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
+import type { EvacuationRequests } from './EvacuationRequests.js';
 import { DecisionEvents, JobEvents } from './events.js';
 import { LearnedStateStore } from './LearnedStateStore.js';
 import type { LoadLimit } from './LoadLimit.js';
@@ -70,6 +71,8 @@
   readonly log: EventLog;
   readonly bounds: DispatchBounds;
   readonly counters: RunCounters;
+  /** Requests of the operator to evacuate data centres. */
+  readonly evacuations: EvacuationRequests;
   /** Fencing token while the lease is valid, undefined otherwise. */
   readonly token: () => number | undefined;
   readonly resign: (reason: string) => void;
@@ -376,7 +379,8 @@
 
   private step(): void {
     this.listRunnersIfDue();
-    const { clock, steadyClock } = this.services;
+    const { clock, steadyClock, evacuations } = this.services;
+    this.dispatcher.evacuate(evacuations.dataCentres, evacuations.confirmedAt);
     const commands = this.dispatcher.step(this.now, clock.wall(), steadyClock.monotonic());
     commands.stops.forEach((command) => this.commandSender.stop(command));
     this.progress.add({
--- a/packages/instance/src/electionAfterRestart.test.ts
+++ b/packages/instance/src/electionAfterRestart.test.ts
@@ -80,7 +80,11 @@
       steadyClock: this.clock,
       random: new Random(this.seed * 100 + index),
       log: new EventLog('test', LogLevel.error, LogFormat.text, this.clock),
-      configurationKey: 'configuration',
+      operatorKeys: {
+        prefix: 'operator/',
+        configuration: 'operator/configuration',
+        evacuations: 'operator/evacuate/',
+      },
       decodeConfiguration: () => err(new Error('no configuration')),
     });
   }
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -33,6 +33,11 @@
   startUnsettled: { code: 742, level: warn, text: 'start call unanswered' },
   clockStepped: { code: 743, level: warn, text: 'clock step or suspension detected' },
   entryInvalid: { code: 741, level: warn, text: 'registry entry invalid' },
+  operatorRequestInvalid: {
+    code: 744,
+    level: warn,
+    text: 'request of the operator names nothing known',
+  },
   unexpectedError: { code: 790, level: error, text: 'unexpected error' },
 } as const satisfies Record<string, EventKind>;
 
@@ -56,5 +61,6 @@
   reportOutdated: { code: 767, level: warn, text: 'report of an earlier incarnation ignored' },
   runnerQuarantined: { code: 764, level: warn, text: 'runner quarantined' },
   runnerLeasesExpired: { code: 765, level: warn, text: 'leases on an unresponsive runner expired' },
+  evacuationsChanged: { code: 759, level: info, text: 'data centres to be evacuated changed' },
   orphanStopped: { code: 766, level: warn, text: 'unknown run stopped' },
 };
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,6 +1,6 @@
 /** Job instance: job submission and state, leader election, recovery, and calls to runners. */
 export { JobInstance } from './JobInstance.js';
-export type { InstanceServices, InstanceSettings } from './JobInstance.js';
+export type { InstanceServices, InstanceSettings, OperatorKeys } from './JobInstance.js';
 export { absentRevision, CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
 export type {
   CommitResult,
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -22,6 +22,7 @@
   Transaction,
 } from './CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
+import { EvacuationRequests } from './EvacuationRequests.js';
 import { DecisionEvents, JobEvents } from './events.js';
 import { JobStatusCache } from './JobStatusCache.js';
 import { JobService, Lookup, SubmitOutcome } from './JobService.js';
@@ -110,6 +111,7 @@
       log: new EventLog('test', LogLevel.error, LogFormat.json, clock),
       bounds: replayBounds,
       counters: new RunCounters(),
+      evacuations: new EvacuationRequests('evacuate/'),
       token: () => 7,
       resign: (reason) => resigned.push(reason),
       transfer: () => {},
--- a/packages/instance/src/leadershipTransfer.test.ts
+++ b/packages/instance/src/leadershipTransfer.test.ts
@@ -76,7 +76,11 @@
         steadyClock: this.clock,
         random: new Random(1),
         log,
-        configurationKey: 'configuration',
+        operatorKeys: {
+          prefix: 'operator/',
+          configuration: 'operator/configuration',
+          evacuations: 'operator/evacuate/',
+        },
         decodeConfiguration: () => err(new Error('no configuration')),
       },
     );
--- a/packages/instance/src/leaseInDoubt.test.ts
+++ b/packages/instance/src/leaseInDoubt.test.ts
@@ -70,7 +70,11 @@
       steadyClock: clock,
       random: new Random(1),
       log: new EventLog('test', LogLevel.error, LogFormat.text, clock),
-      configurationKey: 'configuration',
+      operatorKeys: {
+        prefix: 'operator/',
+        configuration: 'operator/configuration',
+        evacuations: 'operator/evacuate/',
+      },
       decodeConfiguration: () => err(new Error('no configuration')),
     });
     await instance.start();
--- a/packages/instance/src/takeoverLoad.test.ts
+++ b/packages/instance/src/takeoverLoad.test.ts
@@ -20,6 +20,7 @@
 
 import type { CoordinationStore, StoredItem, StoredItems } from './CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
+import { EvacuationRequests } from './EvacuationRequests.js';
 import { JobEvents } from './events.js';
 import { StoreKeys } from './keys.js';
 import { LoadLimit } from './LoadLimit.js';
@@ -134,6 +135,7 @@
         log,
         bounds: replayBounds,
         counters: new RunCounters(),
+        evacuations: new EvacuationRequests('evacuate/'),
         token: () => (this.isInDoubt ? undefined : token),
         resign: () => {},
         transfer: (reason) => this.transfers.push(reason),
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -22,6 +22,7 @@
 
 import type { CoordinationStore } from '../CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from '../CoordinationStore.js';
+import { EvacuationRequests } from '../EvacuationRequests.js';
 import { StoreKeys } from '../keys.js';
 import { LoadLimit } from '../LoadLimit.js';
 import type { OperatorConfiguration } from '../OperatorConfiguration.js';
@@ -91,6 +92,8 @@
 
   public readonly store = new VirtualCoordinationStore();
 
+  public readonly evacuations = new EvacuationRequests('evacuate/');
+
   public readonly cutRunners = new Set<string>();
 
   /** Registry entries of incarnations that have ended, until the next one has registered. */
@@ -197,6 +200,7 @@
     const clock = new SuspendAwareClock(steadyClock);
     return {
       store: this.options.wrapStore?.(this.store) ?? this.store,
+      evacuations: this.evacuations,
       registry: {
         list: async () => {
           await delay(this.store.callMs);
--- a/packages/testing/src/DispatchFixture.ts
+++ b/packages/testing/src/DispatchFixture.ts
@@ -1,5 +1,6 @@
 import type {
   EndedTask,
+  DispatchBounds,
   ListedRunner,
   Commands,
   Queue,
@@ -43,7 +44,7 @@
 
 /** A dispatcher with two runners of eight accelerators each and one gang that needs both. */
 export class DispatchFixture {
-  public readonly dispatcher = new Dispatcher(replayBounds, { decide: () => undefined });
+  public readonly dispatcher: Dispatcher;
 
   public now = 1_000;
 
@@ -51,7 +52,9 @@
     steps: readonly Step[] = [fixtureStep],
     stored?: Omit<StoredProgress, 'leasesExtendedUntil'>,
     runnerIds: readonly string[] = ['r1', 'r2'],
+    bounds: Partial<DispatchBounds> = {},
   ) {
+    this.dispatcher = new Dispatcher({ ...replayBounds, ...bounds }, { decide: () => undefined });
     this.dispatcher.configure(new Map([[fixtureQueue.name, fixtureQueue]]), new Map());
     this.dispatcher.updateRunners(
       runnerIds.map((runnerId) => listedRunner(runnerId)),
--- a/packages/testing/src/ReplaySimulation.ts
+++ b/packages/testing/src/ReplaySimulation.ts
@@ -68,6 +68,7 @@
   reclaimMs: 3_400,
   maxLeaseMs: 6_000,
   farSlowdown: 3,
+  evacuationMs: Infinity,
 };
 const tickMs = 20;
 const noVariation: ReplayVariation = { slowEvery: 0, slowFactor: 1, unevenness: 0 };
