Faster takeover, and runs of departed runners end at once

Cause: (1) a successor found the free key by reading it each 400 ms once the feed had been silent for 1.5 s; the lease lasted 1.6 s. A draining runner that closed a connection and left the registry has ended its runs.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -196,14 +196,21 @@
     return true;
   }
 
-  /** Records that the runner did not respond to a call. */
-  public recordUnansweredCall(runnerId: string, now: number): void {
+  /**
+   * Records that the runner did not respond to a call.
+   *
+   * @param isDisconnected whether the runner closed the connection or refused it
+   */
+  public recordUnansweredCall(runnerId: string, now: number, isDisconnected = false): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
       if (runner.unansweredCalls === 0) {
         this.crashes.recordLoss(runner, now);
       }
       runner.unansweredCalls += 1;
+      if (isDisconnected) {
+        runner.disconnectedAt ??= now;
+      }
     }
   }
 
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -30,6 +30,12 @@
   readonly run: number;
 }
 
+/**
+ * Milliseconds between the last listing of a departing runner and its closed connection, at most: two
+ * listings. An expired entry is that of a runner that was silent for three heartbeats, 4.5 s.
+ */
+const departureWindowMs = 1_500;
+
 /** State of a runner as known to this scheduling instance. */
 export class Runner {
   private readonly tasks = new Map<string, Occupant>();
@@ -68,6 +74,15 @@
   /** Consecutive calls without a response. */
   public unansweredCalls = 0;
 
+  /**
+   * Monotonic time at which the runner closed a connection, without an answer since then; undefined
+   * if it did not.
+   */
+  public disconnectedAt: number | undefined;
+
+  /** Monotonic time at which the latest listing that contains the runner was requested. */
+  public listedAt = -Infinity;
+
   /** Steady time after which no run with a lease granted so far can still run. */
   public leaseEnd = 0;
 
@@ -108,6 +123,20 @@
     return this.isDraining || this.drainedIncarnation === this.listed.processStartedAt;
   }
 
+  /**
+   * Whether its process has ended as announced, given that a listing no longer contains it: it was
+   * draining and closed a connection when it was last listed. An entry that expires because the runner
+   * cannot reach the registry vanishes seconds later, and a runner that is cut off closes nothing.
+   */
+  public get hasDeparted(): boolean {
+    const { disconnectedAt, listedAt } = this;
+    return (
+      this.isLeaving &&
+      disconnectedAt !== undefined &&
+      Math.abs(disconnectedAt - listedAt) <= departureWindowMs
+    );
+  }
+
   public get isDraining(): boolean {
     return this.listed.isDraining;
   }
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -38,9 +38,13 @@
   private recordMissing(runner: Runner, now: number): void {
     const since = this.missingSince.get(runner.id) ?? now;
     this.missingSince.set(runner.id, since);
-    if (now - since >= unlistedGraceMs) {
+    const { hasDeparted } = runner;
+    if (hasDeparted || now - since >= unlistedGraceMs) {
       runner.isListed = false;
-      this.state.log.decide('runnerUnlisted', { runner: runner.id });
+      this.state.log.decide('runnerUnlisted', { runner: runner.id, hasDeparted });
+    }
+    if (hasDeparted) {
+      this.reportHandler.endDepartedRuns(runner, now);
     }
   }
 
@@ -49,7 +53,7 @@
     this.missingSince.delete(entry.id);
     const known = runners.get(entry.id);
     if (known === undefined) {
-      runners.set(entry.id, this.createRunner(entry));
+      runners.set(entry.id, this.createRunner(entry, requestedAt));
       log.decide('runnerListed', {
         runner: entry.id,
         rack: entry.rack,
@@ -72,14 +76,16 @@
       known.departsAt = Infinity;
     }
     known.isListed = true;
+    known.listedAt = Math.max(known.listedAt, requestedAt);
     if (entry.processStartedAt >= knownStartedAt) {
       known.listed = entry;
       known.isEntryOutdated = false;
     }
   }
 
-  private createRunner(entry: ListedRunner): Runner {
+  private createRunner(entry: ListedRunner, requestedAt: number): Runner {
     const runner = new Runner(entry);
+    runner.listedAt = requestedAt;
     const key = incarnationKey(entry.id, entry.processStartedAt);
     const inheritedSlowdown = this.state.inheritedSlowdowns.get(key);
     if (inheritedSlowdown !== undefined) {
--- a/packages/instance/src/Election.ts
+++ b/packages/instance/src/Election.ts
@@ -2,20 +2,14 @@
 import { delay, Emitter } from '@apricothoist/common';
 import type { Result } from 'neverthrow';
 
-import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
+import type { CoordinationError, CoordinationStore, StoredItems } from './CoordinationStore.js';
 import { absentRevision, CoordinationErrorKind } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
+import type { LeaseTiming } from './LeaseTiming.js';
 import type { HolderRecord } from './StoredJob.js';
 import { parseRecord } from './StoredJob.js';
 import { StoreTiming } from './StoreTiming.js';
 
-/**
- * Lifetime of the lease in milliseconds. No job starts until the lease of a failed holder expires,
- * and urgent jobs can wait little more than a second.
- */
-const leaseMs = 1_600;
-/** Milliseconds between renewals; the lease survives two lost renewals. */
-const renewIntervalMs = 350;
 /** Timeout of a renewal in milliseconds: above the 316 ms of the slowest supported store. */
 const renewTimeoutMs = 450;
 /** Milliseconds before an unanswered renewal is retried. */
@@ -24,6 +18,11 @@
 const leaseMarginMs = 200;
 /** Milliseconds between reads of the key while another instance holds it. */
 const pollIntervalMs = 400;
+/**
+ * Milliseconds that a watch of the key waits. Each call has a cost; a watch that was cut without a
+ * sign is backed by the idle timeout of the feed.
+ */
+const holderWatchMs = 5_000;
 
 /** Milliseconds without competing for the key after a transfer: several polls of the others. */
 const transferBackoffMs = 1_500;
@@ -65,6 +64,14 @@
 
   private isInDoubt = false;
 
+  /** Whether the key was seen to be free since it was last read. */
+  private isReleased = false;
+
+  private resumeLoop: (() => void) | undefined;
+
+  /** Revision of the key as last read; 0 if unknown. */
+  private holderRevision = 0;
+
   private term: LeadershipTerm | undefined;
 
   private leaseId = 0;
@@ -76,8 +83,6 @@
 
   private isStopped = false;
 
-  private loop: Promise<void> | undefined;
-
   public constructor(
     private readonly store: CoordinationStore,
     private readonly clock: Clock,
@@ -89,6 +94,7 @@
      * Milliseconds that this instance waits before it takes a free key, so that stronger ones win.
      */
     private readonly findElectionDelayMs: () => Promise<Result<number, CoordinationError>>,
+    private readonly timing: LeaseTiming,
   ) {}
 
   /** Fencing token while the lease is valid, undefined otherwise. */
@@ -96,8 +102,9 @@
     return this.clock.monotonic() < this.leaseValidUntil ? this.term?.token : undefined;
   }
 
-  public start(): void {
-    this.loop = this.run();
+  public start(onError: (error: unknown) => void): void {
+    this.run().catch(onError);
+    this.watchHolder().catch(onError);
   }
 
   /** Releases the key to another instance and does not compete for it during the back-off. */
@@ -122,29 +129,99 @@
     while (!this.isStopped) {
       if (this.term !== undefined) {
         await this.renew();
-      } else if (this.isFollowingHolder() || this.clock.monotonic() < this.backOffUntil) {
-        await delay(pollIntervalMs);
+      } else if (this.isFollowing || this.clock.monotonic() < this.backOffUntil) {
+        await this.waitForRelease();
       } else {
         await this.checkHolder();
       }
     }
   }
 
-  private async renew(): Promise<void> {
-    const requestedAt = this.clock.monotonic();
-    const renewed = await this.store.renewLease(this.leaseId, requestedAt + renewTimeoutMs);
-    if (renewed.isOk() && this.term !== undefined) {
-      this.leaseValidUntil = Math.max(this.leaseValidUntil, requestedAt + leaseMs - leaseMarginMs);
-    } else if (renewed.isErr() && renewed.error.kind === CoordinationErrorKind.leaseEnded) {
-      this.resign('lease ended');
+  private get isFollowing(): boolean {
+    return this.isFollowingHolder() && !this.isReleased;
+  }
+
+  private async waitForRelease(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, pollIntervalMs);
+      this.resumeLoop = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.resumeLoop = undefined;
+  }
+
+  // Learns at once that the key is free, while the feed of a holder that vanished is still silent.
+  private async watchHolder(): Promise<void> {
+    while (!this.isStopped) {
+      const { holderRevision } = this;
+      if (this.term !== undefined || holderRevision === 0 || this.isReleased) {
+        await delay(pollIntervalMs);
+      } else {
+        const deadline = this.clock.monotonic() + holderWatchMs + StoreTiming.callTimeoutMs;
+        const changes = await this.store.watch(
+          StoreKeys.holder,
+          holderRevision,
+          holderWatchMs,
+          deadline,
+        );
+        this.applyHolderChanges(changes, holderRevision);
+        await delay(this.random.jitter(renewRetryMs, StoreTiming.retryJitter));
+      }
+    }
+  }
+
+  private applyHolderChanges(
+    changes: Result<StoredItems, CoordinationError>,
+    watchedRevision: number,
+  ): void {
+    if (changes.isErr() || this.holderRevision !== watchedRevision) {
+      // A history that was dropped or an unreachable store: the next read of the key decides.
+      this.holderRevision = changes.isErr() ? 0 : this.holderRevision;
       return;
     }
+    const last = changes.value.items.filter(({ key }) => key === StoreKeys.holder).at(-1);
+    if (last !== undefined) {
+      this.holderRevision = last.value === undefined ? 0 : last.revision;
+      this.isReleased = last.value === undefined && this.term === undefined;
+      if (this.isReleased) {
+        this.resumeLoop?.();
+      }
+    }
+  }
+
+  // A renewal whose answer takes longer than the interval does not hold up the next one.
+  private async renew(): Promise<void> {
+    const { renewIntervalMs } = this.timing;
+    const requestedAt = this.clock.monotonic();
+    const renewal = this.sendRenewal(requestedAt);
+    const isRenewed = await Promise.race([renewal, delay(renewIntervalMs).then(() => undefined)]);
     // Past this time the lease is in doubt: no commands are sent. A renewal that succeeds proves
     // that the lease never ended and that no other instance has taken over.
     this.setDoubt(this.clock.monotonic() >= this.leaseValidUntil);
-    await delay(
-      renewed.isOk() ? renewIntervalMs : this.random.jitter(renewRetryMs, StoreTiming.retryJitter),
-    );
+    if (this.term !== undefined && isRenewed !== undefined) {
+      const restMs = requestedAt + renewIntervalMs - this.clock.monotonic();
+      const retryMs = this.random.jitter(renewRetryMs, StoreTiming.retryJitter);
+      await delay(isRenewed ? Math.max(0, restMs) : retryMs);
+    }
+  }
+
+  /** Resolves to whether the lease was renewed; ends the term if it has ended. */
+  private async sendRenewal(requestedAt: number): Promise<boolean> {
+    const { term, leaseId } = this;
+    const renewed = await this.store.renewLease(leaseId, requestedAt + renewTimeoutMs);
+    if (term === undefined || this.term !== term) {
+      return false;
+    }
+    if (renewed.isOk()) {
+      const validUntil = requestedAt + this.timing.leaseMs - leaseMarginMs;
+      this.leaseValidUntil = Math.max(this.leaseValidUntil, validUntil);
+      this.setDoubt(this.clock.monotonic() >= this.leaseValidUntil);
+    } else if (renewed.error.kind === CoordinationErrorKind.leaseEnded) {
+      this.resign('lease ended');
+    }
+    return renewed.isOk();
   }
 
   private setDoubt(isInDoubt: boolean): void {
@@ -164,6 +241,8 @@
       return;
     }
     const item = found.value;
+    this.isReleased = false;
+    this.holderRevision = item?.revision ?? 0;
     const holder = parseRecord<HolderRecord>(item?.value);
     if (item !== undefined && holder !== undefined) {
       if (holder.instance !== this.self.instance) {
@@ -194,6 +273,7 @@
   }
 
   private async acquire(): Promise<void> {
+    const { leaseMs } = this.timing;
     const requestedAt = this.clock.monotonic();
     const lease = await this.store.grantLease(leaseMs, requestedAt + StoreTiming.callTimeoutMs);
     if (lease.isErr()) {
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -16,6 +16,7 @@
 import { FeedClient } from './FeedClient.js';
 import { FeedServer } from './FeedServer.js';
 import { JobStatusCache } from './JobStatusCache.js';
+import { leaseTimingFor } from './LeaseTiming.js';
 import { LoadLimit } from './LoadLimit.js';
 import { JobService } from './JobService.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
@@ -32,6 +33,8 @@
   readonly feedPort: number;
   /** Processing capacity in cores; instances with more cores are preferred for scheduling. */
   readonly cores: number;
+  /** Speed of its link in Mbit/s; a slow one is assumed if it is absent. */
+  readonly linkMbps?: number;
   /** Milliseconds after its revocation at which an API key must be rejected. */
   readonly revokeMs: number;
   /** Names of all data centres; undefined if they are not known. */
@@ -156,6 +159,7 @@
         self,
         () => this.feedClient.isActive,
         async () => (await this.strongestCores.find()).map((most) => electionDelayMs(cores, most)),
+        leaseTimingFor(settings.linkMbps ?? 0),
       ),
     );
     this.subscribe();
@@ -190,6 +194,7 @@
       run_ends_reported: ends.reported,
       run_ends_refused: ends.refused,
       run_ends_absent: ends.absent,
+      run_ends_departed: ends.departed,
       run_ends_lease_expired: ends.leaseExpired,
       runs_overlapping: overlaps,
       starts_unsettled: unsettledStarts,
@@ -216,7 +221,7 @@
   public async start(): Promise<void> {
     await this.feedServer.listen(this.settings.feedHost, this.settings.feedPort);
     this.configurationFollower.start();
-    this.election.start();
+    this.election.start(this.onError);
     this.services.log.emit(JobEvents.started, { feedPort: this.settings.feedPort });
   }
 
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -234,7 +234,8 @@
       const message = report.isErr() ? report.error.message : 'report of an earlier incarnation';
       owner.reportUnansweredCall(runner.id, message);
     }
-    dispatcher.recordUnansweredCall(runner.id, this.clock.monotonic());
+    const isDisconnected = report.isErr() && report.error.kind === RunnerErrorKind.disconnected;
+    dispatcher.recordUnansweredCall(runner.id, this.clock.monotonic(), isDisconnected);
     return false;
   }
 
--- a/packages/instance/src/leadershipTransfer.test.ts
+++ b/packages/instance/src/leadershipTransfer.test.ts
@@ -20,6 +20,7 @@
 import { JobEvents } from './events.js';
 import { JobInstance } from './JobInstance.js';
 import { StoreKeys } from './keys.js';
+import { leaseTimingFor } from './LeaseTiming.js';
 import { LoadLimit } from './LoadLimit.js';
 import type { RunnerClient } from './RunnerClient.js';
 
@@ -147,9 +148,12 @@
       self,
       () => false,
       async () => ok(0),
+      leaseTimingFor(0),
     );
     this.elections.push(election);
-    election.start();
+    election.start((error) => {
+      throw error;
+    });
     return election;
   }
 
