--- a/packages/dispatch/src/Admission.ts
+++ b/packages/dispatch/src/Admission.ts
@@ -1,4 +1,4 @@
-import { maxLateFactor } from './DispatchOrder.js';
+import { maxLateFactor } from './Objective.js';
 import type { DurationEstimates } from './DurationEstimates.js';
 import type { JobSpecification, Queue } from './Job.js';
 import { isFinal } from './Job.js';
--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -1,13 +1,13 @@
 import { msPerSecond } from '@apricothoist/common';
 
+import type { JobOutlook } from './DelayCost.js';
+import { expectedValueShare } from './DelayCost.js';
 import type { DurationEstimates } from './DurationEstimates.js';
 import { resourcesOf } from './Job.js';
 import type { JobRun } from './JobRun.js';
+import { maxLateFactor } from './Objective.js';
 import { coresOf } from './Resources.js';
 
-/** Multiple of the objective up to which a late job still has value for its client. */
-export const maxLateFactor = 3;
-
 /** Whether a waiting job can still meet its objective. */
 export const ObjectiveStatus = {
   /** The job can still meet its objective. */
@@ -31,12 +31,15 @@
   readonly slackShare: number;
   /** Remaining work in core-seconds. */
   readonly work: number;
+  readonly outlook: JobOutlook;
   /** Tie-breaker: a greater score is scheduled first. */
   readonly score: number;
 }
 
 /** Value of a priority relative to the next lower one: the weight ratio of the two batch queues. */
 const priorityValueRatio = 3;
+/** Core-seconds that each job is worth beside its work, by the service requirements. */
+const baseValue = 300;
 /** Core-seconds below which less work does not raise the score any further. */
 const minScoredWork = 100;
 
@@ -89,8 +92,9 @@
  * Computes the rank of a waiting job.
  *
  * Load pattern: more work than capacity for many seconds. Urgent jobs covered by a guarantee come
- * first, then other urgent jobs. The rest is ordered by objective status, then by value per unit of
- * remaining work. The score grows with the waiting time, so that large jobs do not starve.
+ * first, then other urgent jobs; within each class, what is expected to be earned for its remaining
+ * work. A job that is probably late gives way to one that is probably not. The score grows with the
+ * waiting time, so that large jobs do not starve.
  */
 export function rankJob(
   job: JobRun,
@@ -102,6 +106,13 @@
   const waitedMs = now - job.arrivedAt;
   const leftMs = remainingChainMs(job, estimates, now);
   const work = remainingWork(job, estimates);
+  const outlook = {
+    value: (baseValue + work) * priorityValueRatio ** -job.queue.priority,
+    waitedMs,
+    remainingMs: leftMs,
+    objectiveMs: objective,
+    targetMs: job.queue.targetMs,
+  };
   return {
     job,
     isGuaranteed,
@@ -109,8 +120,11 @@
     objectiveStatus: objectiveStatusOf(waitedMs + leftMs, objective),
     slackShare: 1 - (waitedMs + leftMs) / objective,
     work,
+    outlook,
     score:
-      (priorityValueRatio ** -job.queue.priority * (1 + waitedMs / objective)) /
+      (priorityValueRatio ** -job.queue.priority *
+        (1 + waitedMs / objective) *
+        expectedValueShare(outlook, 0)) /
       Math.max(minScoredWork, work),
   };
 }
@@ -127,7 +141,6 @@
   return (
     Number(right.isGuaranteed) - Number(left.isGuaranteed) ||
     Number(right.isUrgent) - Number(left.isUrgent) ||
-    left.objectiveStatus - right.objectiveStatus ||
     right.score - left.score
   );
 }
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -258,6 +258,7 @@
   if (running.percent !== member.percent || group.phase !== TaskGroupPhase.running) {
     member.percent = running.percent;
     member.progressedAt = now;
+    member.isStallReported = false;
   }
 }
 
--- a/packages/dispatch/src/RunnerChecks.ts
+++ b/packages/dispatch/src/RunnerChecks.ts
@@ -3,6 +3,7 @@
 import type { Runner } from './Runner.js';
 import { extendLease, occupantKey } from './Runner.js';
 import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
+import type { Member, TaskGroup } from './TaskGroup.js';
 import { TaskGroupPhase } from './TaskGroup.js';
 import type { TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 
@@ -13,6 +14,17 @@
 /** Milliseconds after which a stop command without effect is sent again. */
 const stopRetryMs = 700;
 
+/**
+ * Milliseconds of work that a stop of the task group loses. Nobody knows how long a task will stand
+ * still; one that waits as long as its work takes to repeat costs at most twice the better choice.
+ *
+ * Load pattern: runners that hang for some seconds under wide gangs that are almost done.
+ */
+function unsavedMs(group: TaskGroup, { progressedAt }: Member): number {
+  const unsavedSince = group.step.savesProgress ? group.savedAt : group.startedAt;
+  return progressedAt - unsavedSince;
+}
+
 /** Time-driven checks of the runs on all runners: expired leases, stops to repeat, stalled tasks. */
 export class RunnerChecks {
   private readonly stopSentAt = new Map<string, number>();
@@ -72,8 +84,11 @@
         runner.unansweredCalls === 0 &&
         now - member.progressedAt > stallTimeoutMs &&
         runner.reportedAt - member.progressedAt > stallTimeoutMs;
-      if (isStalled) {
+      if (isStalled && !member.isStallReported) {
+        member.isStallReported = true;
         reportRunnerFault(this.state, runner, RunnerFault.stalled, now);
+      }
+      if (isStalled && now - member.progressedAt >= unsavedMs(group, member)) {
         this.lifecycle.abort(group, `stalled at ${member.percent} %`, now);
       }
     });
--- a/packages/dispatch/src/TaskGroup.ts
+++ b/packages/dispatch/src/TaskGroup.ts
@@ -58,6 +58,8 @@
   percent: number;
   /** Monotonic time at which `percent` last changed. */
   progressedAt: number;
+  /** Whether its present standstill was reported as a fault of the runner. */
+  isStallReported: boolean;
   /** Whether the progress of this run has been recorded in the slowdown of its runner. */
   isSlowdownRecorded: boolean;
 }
@@ -188,6 +190,7 @@
     isStopRequested: false,
     percent: 0,
     progressedAt: 0,
+    isStallReported: false,
     isSlowdownRecorded: false,
   };
 }
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -432,6 +432,7 @@
   member.history = history;
   member.isStopRequested = false;
   member.percent = 0;
+  member.isStallReported = false;
   member.isSlowdownRecorded = false;
   runner.addOccupant({ group, member, run: group.run });
 }
--- a/packages/dispatch/src/loadPatterns.test.ts
+++ b/packages/dispatch/src/loadPatterns.test.ts
@@ -8,7 +8,7 @@
 import test from 'ava';
 
 import type { DispatchPolicy } from './DispatchState.js';
-import { maxLateFactor } from './DispatchOrder.js';
+import { maxLateFactor } from './Objective.js';
 import { defaultPolicy } from './DispatchState.js';
 import type { Queue } from './Job.js';
 
