--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -120,7 +120,7 @@
     return [...this.state.openJobs]
       .filter((job) => this.waitingGroups(job).length > 0)
       .map((job) => rankJob(job, this.guaranteedJobs.has(job), estimates, this.now))
-      .sort(compareRanks);
+      .sort(this.state.policy.compareRanks ?? compareRanks);
   }
 
   private waitingGroups(job: JobRun): TaskGroup[] {
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -1,3 +1,4 @@
+import type { JobRank } from './DispatchOrder.js';
 import { DurationEstimates } from './DurationEstimates.js';
 import { Evacuations } from './Evacuations.js';
 import type { Account, Queue } from './Job.js';
@@ -102,6 +103,8 @@
   readonly lostWorkBase: number;
   /** Whether slow runners are detected, so that urgent work is placed on fast ones. */
   readonly detectsSlowRunners: boolean;
+  /** Order of waiting jobs in place of `compareRanks`, for comparisons in benchmarks. */
+  readonly compareRanks?: (left: JobRank, right: JobRank) => number;
 }
 
 export const defaultPolicy: DispatchPolicy = {
--- a/packages/testing/src/DispatchFixture.ts
+++ b/packages/testing/src/DispatchFixture.ts
@@ -11,7 +11,7 @@
 } from '@apricothoist/dispatch';
 import { Dispatcher, StartOutcome } from '@apricothoist/dispatch';
 
-import { createSpecification, plainStep, replayBounds, replayQueues } from './ReplaySimulation.js';
+import { createSpecification, plainStep, replayBounds, replayQueues } from './replaySettings.js';
 
 /** Queue and id of the job of every fixture. */
 export const fixtureQueue = replayQueues.urgent as Queue;
--- a/packages/testing/src/ReplaySimulation.ts
+++ b/packages/testing/src/ReplaySimulation.ts
@@ -1,37 +1,48 @@
 import { Random } from '@apricothoist/common';
 import type {
+  DecisionFields,
   DecisionLog,
-  DispatchBounds,
-  EndedTask,
   JobSpecification,
   JobState,
   ListedRunner,
   Queue,
-  RunningTask,
   StartCommand,
   Step,
 } from '@apricothoist/dispatch';
-import { defaultPolicy, Dispatcher, RunEnd, StartOutcome } from '@apricothoist/dispatch';
+import {
+  decideAdmission,
+  defaultPolicy,
+  Dispatcher,
+  JobState as State,
+  StartOutcome,
+} from '@apricothoist/dispatch';
 
-/** A job that arrives during a replay. */
-export interface JobArrival {
-  /** Arrival time in virtual milliseconds. */
-  readonly at: number;
-  readonly queue: string;
-  readonly account?: string;
-  readonly steps: readonly Partial<Step>[];
-  /** Actual duration of each task in milliseconds; the dispatcher sees only the declared one. */
-  readonly durationMs: number;
-}
+import { alignGangEnds } from './alignGangEnds.js';
+import { preemptionReason, ReplayRunLog } from './ReplayRunLog.js';
+import type { ReplayedRun } from './ReplayRunner.js';
+import { ReplayRunner } from './ReplayRunner.js';
+import type { JobArrival, ReplayDeployment } from './replaySettings.js';
+import { createSpecification, plainDeployment, plainStep, replayBounds } from './replaySettings.js';
+import { ReplayUsage } from './ReplayUsage.js';
 
 /** Progress of a job in a replay. Times in virtual milliseconds; 0 if not reached yet. */
 export interface ReplayedJob {
   readonly id: string;
   readonly queue: string;
+  readonly account: string;
+  /** Time of its first submission. */
   readonly arrivedAt: number;
   state: JobState;
   startedAt: number;
   endedAt: number;
+  /** Time during which a task group that was ready to run did not run. */
+  waitedMs: number;
+  /** Number of its task groups' runs that were preempted. */
+  preemptions: number;
+  /** Number of submissions that admission refused. */
+  refusals: number;
+  /** Whether the caller gave up after its last refusal. */
+  isRefused: boolean;
 }
 
 /** Deviations of runner speeds and task durations from the nominal values. */
@@ -42,99 +53,15 @@
   readonly slowFactor: number;
   /** Relative jitter of the task durations within a step. */
   readonly unevenness: number;
+  /** Speed of runner i is `speeds[i % length]`; absent: as `slowEvery` and `slowFactor` say. */
+  readonly speeds?: readonly number[];
 }
 
-interface SimulatedTask {
-  readonly command: StartCommand;
-  readonly size: Step['size'];
-  /** Time at which its own work is done; a gang ends only when its last task is done. */
-  workDoneAt: number;
-  endsAt: number;
-  stopAt: number;
-  startedAt: number;
-}
-
-interface SimulatedRunner {
-  /** Factor by which tasks take longer on this runner. */
-  readonly slowdown: number;
-  readonly entry: ListedRunner;
-  readonly tasks: Map<string, SimulatedTask>;
-  unreportedEnds: EndedTask[];
-  endCount: number;
-}
-
-export const replayBounds: DispatchBounds = {
-  stopMs: 900,
-  reclaimMs: 3_400,
-  maxLeaseMs: 6_000,
-  farSlowdown: 3,
-  evacuationMs: Infinity,
-};
 const tickMs = 20;
 const noVariation: ReplayVariation = { slowEvery: 0, slowFactor: 1, unevenness: 0 };
-/** Milliseconds per second, and thousandths of a core per core. */
-const milliPerUnit = 1_000;
-const coresPerAccelerator = 8;
-
-/** A step of one small task that does not save its progress. */
-export const plainStep: Step = {
-  count: 1,
-  size: { cpu: 1_000, memoryMb: 1_000, accelerators: 1 },
-  declaredMs: 1_000,
-  after: [],
-  isGang: false,
-  prefersOneRack: false,
-  savesProgress: false,
-  isLasting: false,
-  usesLeftover: false,
-};
-
-/**
- * The two kinds of queues of the service requirements: urgent jobs that last seconds, and batch
- * jobs of two priorities.
- */
-export const replayQueues: Readonly<Record<string, Queue>> = {
-  urgent: {
-    name: 'urgent',
-    service: 'service',
-    priority: 0,
-    maxAttempts: 3,
-    stretch: 1.5,
-    targetMs: 250,
-  },
-  large: {
-    name: 'large',
-    service: 'service',
-    priority: 1,
-    maxAttempts: 3,
-    stretch: 3,
-    targetMs: 1_000,
-  },
-  batch: {
-    name: 'batch',
-    service: 'service',
-    priority: 2,
-    maxAttempts: 3,
-    stretch: 3,
-    targetMs: 3_000,
-  },
-};
-
-/** Creates the specification of a job of the urgent queue that is due immediately. */
-export function createSpecification(id: string, steps: readonly Step[]): JobSpecification {
-  return {
-    id,
-    queue: 'urgent',
-    account: 'anna',
-    service: 'service',
-    payload: '',
-    steps,
-    occurrences: 1,
-    intervalMs: 0,
-    firstDueAt: 0,
-    acceptedAt: 0,
-  };
-}
+const msPerSecond = 1_000;
+/** Number of times that a caller comes back after a refusal, by the service requirements. */
+const maxRetries = 4;
 
 /**
  * Replays a load against the dispatcher in virtual time, on simulated runners that obey every
@@ -147,8 +74,9 @@
 
   public readonly decisions: { kind: string; fields: Record<string, unknown> }[] = [];
 
-  /** Core-seconds of work lost in runs that were stopped without saving their progress. */
-  public wastedCoreSeconds = 0;
+  public readonly runLog = new ReplayRunLog();
+
+  public readonly usage = new ReplayUsage();
 
   /** Real milliseconds that each step of the dispatcher took. */
   public readonly stepMs: number[] = [];
@@ -158,43 +86,55 @@
 
   public now = 1_000;
 
-  private readonly variation: ReplayVariation;
+  private readonly deployment: ReplayDeployment & typeof plainDeployment;
 
   private readonly random = new Random(1);
 
-  private readonly runners = new Map<string, SimulatedRunner>();
+  private readonly runners = new Map<string, ReplayRunner>();
 
-  private readonly durations = new Map<string, number>();
+  private readonly arrivals = new Map<string, Omit<JobArrival, 'at'>>();
 
   private readonly specifications = new Map<string, JobSpecification>();
 
+  /** Submissions that were refused, with the time at which the caller comes back. */
+  private retries: { readonly at: number; readonly id: string }[] = [];
+
   private readonly startInterceptors: ((command: StartCommand) => StartOutcome | undefined)[] = [];
 
   public constructor(
     racks: number,
     runnersPerRack: number,
     policy = defaultPolicy,
-    variation = noVariation,
+    private readonly variation = noVariation,
+    deployment: ReplayDeployment = {},
   ) {
     const decide: DecisionLog['decide'] = (kind, fields) => {
       this.decisions.push({ kind, fields: { ...fields } });
+      if (kind === 'groupAborted') {
+        this.recordAbort(fields);
+      }
     };
-    this.variation = variation;
-    this.dispatcher = new Dispatcher(replayBounds, { decide }, policy);
+    this.deployment = { ...plainDeployment, ...deployment } as typeof this.deployment;
+    const { queues, accounts, stopMs } = this.deployment;
+    this.dispatcher = new Dispatcher({ ...replayBounds, stopMs }, { decide }, policy);
     for (let rack = 0; rack < racks; rack += 1) {
       for (let index = 0; index < runnersPerRack; index += 1) {
-        const number = rack * runnersPerRack + index;
-        const isSlow = variation.slowEvery > 0 && number % variation.slowEvery === 0;
-        const slowdown = isSlow ? variation.slowFactor : 1;
+        const slowdown = this.slowdownOf(rack * runnersPerRack + index);
         this.addRunner(`rack-${rack}`, `runner-${rack}-${index}`, slowdown);
       }
     }
-    const queues = new Map(Object.values(replayQueues).map((queue) => [queue.name, queue]));
-    const accounts = new Map([['anna', { name: 'anna', guaranteedAccelerators: 32 }]]);
-    this.dispatcher.configure(queues, accounts);
+    this.dispatcher.configure(
+      new Map(queues.map((queue) => [queue.name, queue])),
+      new Map(accounts.map((account) => [account.name, account])),
+    );
     this.listAllRunners();
   }
 
+  /** Core-seconds of work lost in runs that were stopped without saving their progress. */
+  public get wastedCoreSeconds(): number {
+    return this.runLog.wastedCoreSeconds;
+  }
+
   /** Overrides the outcome of starts. If `decide` returns undefined, the runner decides. */
   public interceptStarts(decide: (command: StartCommand) => StartOutcome | undefined): void {
     this.startInterceptors.push(decide);
@@ -210,26 +150,53 @@
 
   public submit(arrival: Omit<JobArrival, 'at'>): string {
     const id = String(this.jobs.size + 1).padStart(16, '0');
-    const queue = replayQueues[arrival.queue] as Queue;
     const steps = arrival.steps.map((step): Step => ({ ...plainStep, ...step }));
-    const account = arrival.account ?? 'anna';
-    const specification = { ...createSpecification(id, steps), queue: queue.name, account };
-    this.durations.set(id, arrival.durationMs);
-    this.specifications.set(id, specification);
-    this.dispatcher.addJob(specification, queue, this.now, this.now);
-    const state = this.dispatcher.state.jobs.get(id)?.state as JobState;
-    const job = { id, queue: queue.name, arrivedAt: this.now, state, startedAt: 0, endedAt: 0 };
-    this.jobs.set(id, job);
+    const { queue, account = 'anna' } = arrival;
+    this.arrivals.set(id, arrival);
+    this.specifications.set(id, { ...createSpecification(id, steps), queue, account });
+    this.jobs.set(id, {
+      id,
+      queue,
+      account,
+      arrivedAt: this.now,
+      state: State.queued,
+      startedAt: 0,
+      endedAt: 0,
+      waitedMs: 0,
+      preemptions: 0,
+      refusals: 0,
+      isRefused: false,
+    });
+    this.offer(id);
     return id;
   }
 
   /** Advances virtual time to `until` and submits each arrival at its time. */
   public run(until: number, arrivals: readonly JobArrival[] = []): void {
+    this.advance(until, arrivals, () => false);
+  }
+
+  /** Like `run`, but ends as soon as all jobs have ended. */
+  public runToEnd(until: number, arrivals: readonly JobArrival[]): void {
+    this.advance(until, arrivals, () =>
+      [...this.jobs.values()].every(({ endedAt }) => endedAt > 0),
+    );
+  }
+
+  /** Tasks that currently run on a runner, as `task#run`. */
+  public tasksOn(runnerId: string): string[] {
+    return [...(this.runners.get(runnerId)?.tasks.keys() ?? [])];
+  }
+
+  private advance(until: number, arrivals: readonly JobArrival[], isOver: () => boolean): void {
     const pending = [...arrivals].sort((left, right) => left.at - right.at);
-    while (this.now < until) {
+    while (this.now < until && (pending.length > 0 || !isOver())) {
       while (pending[0] !== undefined && pending[0].at <= this.now) {
         this.submit(pending.shift() as JobArrival);
       }
+      const due = this.retries.filter(({ at }) => at <= this.now);
+      this.retries = this.retries.filter(({ at }) => at > this.now);
+      due.forEach(({ id }) => this.offer(id));
       this.runners.forEach((runner) => this.reportRunner(runner));
       const stepStartedAt = performance.now();
       const { starts, stops } = this.dispatcher.step(this.now, this.now, this.now);
@@ -237,35 +204,66 @@
       this.dispatcher.takeUnstoredJobs();
       stops.forEach(({ runnerId, task, run }) => this.stopTask(runnerId, `${task}#${run}`));
       starts.forEach((command) => this.startTask(command));
-      this.alignGangEnds(starts);
+      alignGangEnds(starts, this.runners, this.deployment.farSlowdown);
       this.updateJobs();
+      this.usage.sample(this.now, tickMs, this.runners.values(), this.dispatcher.state);
       this.now += tickMs;
     }
   }
 
-  /** Tasks that currently run on a runner, as `task#run`. */
-  public tasksOn(runnerId: string): string[] {
-    return [...(this.runners.get(runnerId)?.tasks.keys() ?? [])];
+  // Submits a job that has arrived or whose caller comes back.
+  private offer(id: string): void {
+    const job = this.jobs.get(id) as ReplayedJob;
+    const specification = this.specifications.get(id) as JobSpecification;
+    const queue = this.dispatcher.state.queues.get(job.queue) as Queue;
+    if (this.deployment.hasAdmission) {
+      const status = this.dispatcher.describeQueues().get(queue.name);
+      const admission = decideAdmission(specification, queue, status);
+      if (!admission.isAccepted) {
+        this.refuse(job, admission.retryAfterMs);
+        return;
+      }
+    }
+    this.dispatcher.addJob(specification, queue, this.now, this.now);
+  }
+
+  private refuse(job: ReplayedJob, retryAfterMs: number): void {
+    job.refusals += 1;
+    if (job.refusals > maxRetries) {
+      job.isRefused = true;
+      job.endedAt = this.now;
+      return;
+    }
+    // The header of the response is in whole seconds.
+    const retryMs = Math.ceil(retryAfterMs / msPerSecond) * msPerSecond;
+    this.retries.push({ at: this.now + retryMs, id: job.id });
+  }
+
+  private slowdownOf(number: number): number {
+    const { speeds = [], slowEvery, slowFactor } = this.variation;
+    const speed = speeds[number % speeds.length];
+    if (speed !== undefined) {
+      return 1 / speed;
+    }
+    return slowEvery > 0 && number % slowEvery === 0 ? slowFactor : 1;
   }
 
   private addRunner(rack: string, id: string, slowdown: number): void {
-    this.runners.set(id, {
-      slowdown,
-      entry: {
-        id,
-        address: id,
-        service: 'service',
-        dataCentre: 'a',
-        rack,
-        labels: ['kind', rack],
-        capacity: { cpu: 32_000, memoryMb: 131_072, accelerators: 8 },
-        isDraining: false,
-        processStartedAt: 1,
-      },
-      tasks: new Map(),
-      unreportedEnds: [],
-      endCount: 0,
-    });
+    const { capacity, saveIntervalMs, reportIntervalMs = tickMs } = this.deployment;
+    const timing = { saveIntervalMs, reportIntervalMs };
+    const entry = {
+      id,
+      address: id,
+      service: 'service',
+      dataCentre: 'a',
+      rack,
+      labels: ['kind', rack],
+      capacity,
+      isDraining: false,
+      processStartedAt: 1,
+    };
+    const onEnd = (run: ReplayedRun): void => this.runLog.recordEnd(run);
+    this.runners.set(id, new ReplayRunner(entry, slowdown, timing, onEnd));
   }
 
   private listAllRunners(): void {
@@ -273,50 +271,25 @@
     this.runners.forEach((runner) => this.reportRunner(runner));
   }
 
-  private reportRunner(runner: SimulatedRunner): void {
-    runner.tasks.forEach((task, key) => {
-      if (task.stopAt <= this.now) {
-        this.endTask(runner, key, task, RunEnd.stopped);
-      } else if (task.endsAt <= this.now) {
-        this.endTask(runner, key, task, RunEnd.done);
-      }
-    });
-    const running = [...runner.tasks.values()].map(
-      ({ command, startedAt, workDoneAt }): RunningTask => ({
-        task: command.task,
-        run: command.run,
-        saved: '',
-        percent: Math.min(100, (100 * (this.now - startedAt)) / (workDoneAt - startedAt)),
-      }),
-    );
+  private reportRunner(runner: ReplayRunner): void {
+    if (!runner.isReportDue(this.now)) {
+      return;
+    }
+    const report = runner.report(this.now);
     this.dispatcher.recordLeaseExtension(runner.entry.id, this.now);
-    const report = {
-      processStartedAt: 1,
-      requestedAt: this.now - 1,
-      running,
-      ended: runner.unreportedEnds,
-      hasMoreEnds: false,
-    };
     this.dispatcher.applyReport(runner.entry.id, report, this.now);
-    runner.unreportedEnds = [];
   }
 
-  private endTask(runner: SimulatedRunner, key: string, task: SimulatedTask, end: RunEnd): void {
-    runner.tasks.delete(key);
-    const savesProgress =
-      this.specifications.get(task.command.jobId)?.steps[0]?.savesProgress === true;
-    if (end === RunEnd.stopped && !savesProgress) {
-      const cores = task.size.cpu / milliPerUnit + task.size.accelerators * coresPerAccelerator;
-      this.wastedCoreSeconds += (cores * (this.now - task.startedAt)) / milliPerUnit;
+  private recordAbort(fields: DecisionFields): void {
+    this.runLog.recordAbort(fields, this.now);
+    const job = this.jobs.get(String(fields.job));
+    if (job !== undefined && fields.reason === preemptionReason) {
+      job.preemptions += 1;
     }
-    runner.endCount += 1;
-    const { task: name, run } = task.command;
-    const saved = end === RunEnd.stopped && savesProgress ? String(this.now - task.startedAt) : '';
-    runner.unreportedEnds.push({ number: runner.endCount, task: name, run, end, saved });
   }
 
   private startTask(command: StartCommand): void {
-    const runner = this.runners.get(command.runnerId) as SimulatedRunner;
+    const runner = this.runners.get(command.runnerId) as ReplayRunner;
     const intercepted = this.startInterceptors
       .map((decide) => decide(command))
       .find((outcome) => outcome !== undefined);
@@ -330,69 +303,34 @@
     );
   }
 
-  private tryStart(runner: SimulatedRunner, command: StartCommand): StartOutcome {
-    const stepIndex = Number(command.task.split('.')[2]);
-    const size = this.specifications.get(command.jobId)?.steps[stepIndex]?.size as Step['size'];
-    const used = [...runner.tasks.values()].reduce(
-      (sum, task) => ({
-        cpu: sum.cpu + task.size.cpu,
-        memoryMb: sum.memoryMb + task.size.memoryMb,
-        accelerators: sum.accelerators + task.size.accelerators,
-      }),
-      size,
-    );
-    const { capacity } = runner.entry;
-    const fits =
-      used.cpu <= capacity.cpu &&
-      used.memoryMb <= capacity.memoryMb &&
-      used.accelerators <= capacity.accelerators;
-    if (!fits) {
+  private tryStart(runner: ReplayRunner, command: StartCommand): StartOutcome {
+    const [, , stepIndex, taskIndex] = command.task.split('.').map(Number);
+    const step = this.specifications.get(command.jobId)?.steps[stepIndex as number] as Step;
+    if (!runner.hasRoomFor(step.size)) {
       this.refusedStarts += 1;
       return StartOutcome.noCapacity;
     }
-    const fullMs = (this.durations.get(command.jobId) ?? 0) * runner.slowdown;
-    const taskMs = fullMs * this.random.jitter(1, this.variation.unevenness);
-    const workDoneAt = this.now + Math.max(0, taskMs - Number(command.saved || 0));
-    runner.tasks.set(`${command.task}#${command.run}`, {
-      command,
-      size,
-      startedAt: this.now,
-      workDoneAt,
-      endsAt: workDoneAt,
-      stopAt: Infinity,
-    });
+    const { durationMs = 0, taskFactors } = this.arrivals.get(command.jobId) ?? {};
+    const fullMs = durationMs * (taskFactors?.[stepIndex as number]?.[taskIndex as number] ?? 1);
+    const jitteredMs = this.random.jitter(fullMs, this.variation.unevenness);
+    runner.start(command, step, jitteredMs, this.now);
     return StartOutcome.started;
   }
 
-  // All tasks of a gang end together.
-  private alignGangEnds(starts: readonly StartCommand[]): void {
-    const gangs = new Map<string, SimulatedTask[]>();
-    starts.forEach(({ runnerId, jobId, task, run }) => {
-      const stepIndex = Number(task.split('.')[2]);
-      const started = this.runners.get(runnerId)?.tasks.get(`${task}#${run}`);
-      if (started !== undefined && this.specifications.get(jobId)?.steps[stepIndex]?.isGang) {
-        const key = `${jobId}.${stepIndex}`;
-        gangs.set(key, [...(gangs.get(key) ?? []), started]);
-      }
-    });
-    gangs.forEach((tasks) => {
-      const endsAt = Math.max(...tasks.map(({ workDoneAt }) => workDoneAt));
-      tasks.forEach((task) => Object.assign(task, { endsAt }));
-    });
-  }
-
   private stopTask(runnerId: string, key: string): void {
     const task = this.runners.get(runnerId)?.tasks.get(key);
     if (task !== undefined) {
-      task.stopAt = Math.min(task.stopAt, this.now + replayBounds.stopMs);
+      task.stopAt = Math.min(task.stopAt, this.now + this.deployment.stopMs);
     }
     const [name = '', run] = key.split('#');
     this.dispatcher.recordStopResponse(runnerId, 1, name, Number(run), this.now);
   }
 
   private updateJobs(): void {
+    const { jobs, reserved } = this.dispatcher.state;
+    const reservedJobs = new Set([...reserved].map(({ job }) => job));
     this.jobs.forEach((replayed) => {
-      const job = this.dispatcher.state.jobs.get(replayed.id);
+      const job = jobs.get(replayed.id);
       if (job === undefined || replayed.endedAt > 0) {
         return;
       }
@@ -402,6 +340,8 @@
       }
       if (job.isEnded) {
         replayed.endedAt = this.now;
+      } else if (job.readyGroups.length > 0 || reservedJobs.has(job)) {
+        replayed.waitedMs += tickMs;
       }
     });
   }
--- a/packages/testing/src/VirtualRunner.test.ts
+++ b/packages/testing/src/VirtualRunner.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava';
 
 import { listedRunner } from './DispatchFixture.js';
-import { plainStep } from './ReplaySimulation.js';
+import { plainStep } from './replaySettings.js';
 import type { TaskBehaviour } from './TaskBehaviour.js';
 import type { VirtualRunnerOptions } from './VirtualRunner.js';
 import { VirtualRunner } from './VirtualRunner.js';
--- a/packages/testing/src/VirtualRunnerClient.test.ts
+++ b/packages/testing/src/VirtualRunnerClient.test.ts
@@ -5,7 +5,7 @@
 
 import type { CallFate } from './CallFate.js';
 import { listedRunner } from './DispatchFixture.js';
-import { plainStep } from './ReplaySimulation.js';
+import { plainStep } from './replaySettings.js';
 import type { TaskBehaviour } from './TaskBehaviour.js';
 import { VirtualRunner } from './VirtualRunner.js';
 import type { VirtualRunnerClientOptions } from './VirtualRunnerClient.js';
--- a/packages/testing/src/generateLoad.ts
+++ b/packages/testing/src/generateLoad.ts
@@ -1,6 +1,6 @@
 import { Random } from '@apricothoist/common';
 
-import type { JobArrival } from './ReplaySimulation.js';
+import type { JobArrival } from './replaySettings.js';
 
 const msPerSecond = 1_000;
 
@@ -27,6 +27,12 @@
    * durations are uniformly distributed.
    */
   readonly taskCountSigma?: number;
+  /** The same of the duration, where that of the number of tasks is given. */
+  readonly durationSigma?: number;
+  /** Mean number of steps, each as wide as the first; at most 2. */
+  readonly meanSteps?: number;
+  /** Share of the task groups that take `stragglerFactor` times as long. */
+  readonly stragglerShare?: number;
 }
 
 /** Load of about thirty runners, from the service requirements. */
@@ -103,10 +109,12 @@
 ];
 
 /** Standard deviation of the logarithm of durations, from the service requirements. */
-const durationSigma = 0.35;
+const defaultDurationSigma = 0.35;
 /** Maxima of the number of tasks and the duration relative to the mean, from the requirements. */
 const maxTasksFactor = 6;
 const maxDurationFactor = 1.4;
+/** Factor by which a straggler takes longer, from the service requirements. */
+const stragglerFactor = 7;
 
 /**
  * Draws from a log-normal distribution with the given mean, so that a few jobs have many times the
@@ -143,30 +151,47 @@
       if (at > arrivalPeriodMs) {
         return;
       }
-      const step = {
-        count: Math.max(1, Math.round(drawTaskCount(random, jobClass))),
-        size: {
-          cpu: jobClass.cpu,
-          memoryMb: jobClass.memoryMb,
-          accelerators: random.pick(jobClass.accelerators),
-        },
-        declaredMs: jobClass.meanDurationMs * (0.2 + 3 * random.fraction()),
-        isGang: jobClass.isGang,
-        prefersOneRack: random.fraction() < jobClass.oneRackShare,
-        savesProgress: random.fraction() < jobClass.checkpointShare,
-      };
-      arrivals.push({
-        at,
-        queue: jobClass.queue,
-        steps: [step],
-        durationMs: drawDuration(random, jobClass),
-      });
+      arrivals.push({ at, ...drawJob(random, jobClass) });
     }
   });
   return arrivals;
 }
 
-function burstFactorAt(bursts: readonly LoadBurst[], jobClass: JobClass, at: number): number {
+/** Draws the steps and durations of a job. */
+export function drawJob(random: Random, jobClass: JobClass): Omit<JobArrival, 'at'> {
+  const step = {
+    count: Math.max(1, Math.round(drawTaskCount(random, jobClass))),
+    size: {
+      cpu: jobClass.cpu,
+      memoryMb: jobClass.memoryMb,
+      accelerators: random.pick(jobClass.accelerators),
+    },
+    declaredMs: jobClass.meanDurationMs * (0.2 + 3 * random.fraction()),
+    isGang: jobClass.isGang,
+    prefersOneRack: random.fraction() < jobClass.oneRackShare,
+    savesProgress: random.fraction() < jobClass.checkpointShare,
+  };
+  const durationMs = drawDuration(random, jobClass);
+  const { queue, meanSteps = 1, stragglerShare = 0 } = jobClass;
+  const hasSecond = meanSteps > 1 && random.fraction() < meanSteps - 1;
+  const steps = hasSecond ? [step, { ...step, after: [0] }] : [step];
+  if (stragglerShare === 0) {
+    return { queue, steps, durationMs };
+  }
+  const drawFactor = (): number => (random.fraction() < stragglerShare ? stragglerFactor : 1);
+  const taskFactors = steps.map(({ count, isGang }) => {
+    // The tasks of a gang end together.
+    const gangFactor = drawFactor();
+    return Array.from({ length: count }, () => (isGang ? gangFactor : drawFactor()));
+  });
+  return { queue, steps, durationMs, taskFactors };
+}
+
+export function burstFactorAt(
+  bursts: readonly LoadBurst[],
+  jobClass: JobClass,
+  at: number,
+): number {
   const burst = bursts.find(
     ({ queue, from, until }) => queue === jobClass.queue && from <= at && at < until,
   );
@@ -179,7 +204,10 @@
     : Math.min(meanTasks * maxTasksFactor, drawLogNormal(random, meanTasks, taskCountSigma));
 }
 
-function drawDuration(random: Random, { meanDurationMs, taskCountSigma }: JobClass): number {
+function drawDuration(
+  random: Random,
+  { meanDurationMs, taskCountSigma, durationSigma = defaultDurationSigma }: JobClass,
+): number {
   return taskCountSigma === undefined
     ? random.jitter(meanDurationMs, 0.3)
     : Math.min(
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -26,13 +26,20 @@
 export { VirtualLink } from './VirtualLink.js';
 export { generateLoad, largeDeploymentLoad, smallDeploymentLoad } from './generateLoad.js';
 export type { LoadBurst, JobClass } from './generateLoad.js';
+export { generateDeploymentLoad, loadBeginsAt } from './generateDeploymentLoad.js';
+export type { DeploymentLoad } from './generateDeploymentLoad.js';
+export { flagyardLoad, vaultLoad } from './deploymentLoads.js';
 export {
   createSpecification,
+  criticalPathMs,
+  plainDeployment,
   plainStep,
   replayBounds,
   replayQueues,
-  ReplaySimulation,
-} from './ReplaySimulation.js';
+} from './replaySettings.js';
+export type { JobArrival, ReplayDeployment } from './replaySettings.js';
+export { preemptionReason } from './ReplayRunLog.js';
+export { ReplaySimulation } from './ReplaySimulation.js';
 export {
   DispatchFixture,
   endedTask,
@@ -42,4 +49,6 @@
   fixtureQueue,
   fixtureStep,
 } from './DispatchFixture.js';
-export type { JobArrival, ReplayedJob, ReplayVariation } from './ReplaySimulation.js';
+export type { ReplayedJob, ReplayVariation } from './ReplaySimulation.js';
+export type { ReplayedRun } from './ReplayRunner.js';
+export type { UsageSecond } from './ReplayUsage.js';
