--- a/packages/bench/src/dispatch/CreditLedger.ts
+++ b/packages/bench/src/dispatch/CreditLedger.ts
@@ -133,6 +133,14 @@
     });
   }
 
+  /** All sums as a plain record, for JSON. */
+  public toRecord(): Record<string, unknown> {
+    const { total, byQueue, bySize, byAccount, bySecond } = this;
+    const groups = { byQueue, bySize, byAccount, bySecond };
+    const entries = Object.entries(groups).map(([name, sums]) => [name, Object.fromEntries(sums)]);
+    return { total, ...Object.fromEntries(entries) };
+  }
+
   /** Windows of arrivals since the load began, in order of time. */
   public get windows(): CreditWindow[] {
     const windows = new Map<number, { owed: number; earned: number }>();
--- a/packages/bench/src/dispatch/UsageLedger.ts
+++ b/packages/bench/src/dispatch/UsageLedger.ts
@@ -51,6 +51,9 @@
   /** All accelerator-seconds of the service during the load. */
   public capacity = 0;
 
+  /** Occupied share of the accelerators, by second of the load. */
+  public readonly occupiedBySecond: number[] = [];
+
   public preemptedRuns = 0;
 
   /** Preempted runs younger than `youngRunMs`. */
@@ -62,6 +65,7 @@
       this.idle += idle / msPerSecond;
       this.reserved += reserved / msPerSecond;
       this.capacity += (occupied + reserved + idle) / msPerSecond;
+      this.occupiedBySecond.push(occupied / Math.max(1, occupied + reserved + idle));
     });
   }
 
--- a/packages/bench/src/dispatch/dispatchBench.ts
+++ b/packages/bench/src/dispatch/dispatchBench.ts
@@ -1,15 +1,21 @@
 import { writeFileSync } from 'node:fs';
 import process from 'node:process';
 
+import { loadBeginsAt } from '@apricothoist/testing';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
 import { formatTable } from '../formatTable.js';
+import { boundCredit } from './boundCredit.js';
+import type { ExperimentLoad } from './experimentLoads.js';
 import { experimentLoads } from './experimentLoads.js';
+import type { ExperimentPolicy } from './experimentPolicies.js';
 import { experimentPolicies } from './experimentPolicies.js';
+import type { LoadComparison } from './plotComparisons.js';
+import { plotComparisons } from './plotComparisons.js';
 import { generateJobs, runExperiment } from './runExperiment.js';
-import type { ExperimentSummary } from './summarize.js';
-import { summarize } from './summarize.js';
+import type { CreditSummary, ExperimentSummary } from './summarize.js';
+import { summarize, summarizeBound } from './summarize.js';
 
 const msPerSecond = 1_000;
 const queueColumns = ['urgent', 'wide', 'large', 'batch'];
@@ -41,14 +47,20 @@
   return value === undefined ? '' : value.toFixed(3);
 }
 
-function createRow(summary: ExperimentSummary): string[] {
-  const { lost, usageLost } = summary;
+function createCreditCells(summary: CreditSummary): string[] {
   return [
     `${summary.load} ${summary.factor}x`,
     summary.policy,
     share(summary.earned),
     share(summary.earnedError),
     ...queueColumns.map((queue) => share(summary.earnedByQueue[queue])),
+  ];
+}
+
+function createRow(summary: ExperimentSummary): string[] {
+  const { lost, usageLost } = summary;
+  return [
+    ...createCreditCells(summary),
     ...summary.worstWindows.map(share),
     ...[lost.waited, lost.preempted, lost.slow, lost.refused, lost.failed].map(share),
     share(summary.idle),
@@ -91,24 +103,43 @@
       array: true,
       describe: 'policies to compare',
     })
-    .option('json', { type: 'string', describe: 'file for all results' })
+    .option('json', { type: 'string', describe: 'file for the ledgers of all replays' })
+    .option('plot', { type: 'string', describe: 'SVG file for charts' })
     .strict()
     .parseAsync();
   const loadMs = options.seconds * msPerSecond;
   const seeds = Array.from({ length: options.seeds }, (_, index) => options.first + index);
-  const summaries = options.load.flatMap((loadName) =>
-    options.factor.flatMap((factor) => {
-      const load = experimentLoads[loadName] as (typeof experimentLoads)[string];
+  const comparisons = options.load.flatMap((loadName) =>
+    options.factor.map((factor): LoadComparison => {
+      const load = experimentLoads[loadName] as ExperimentLoad;
       const jobs = seeds.map((seed) => generateJobs(load, seed, loadMs, factor));
-      return options.policy.map((policyName) => {
-        const policy = experimentPolicies[policyName] as (typeof experimentPolicies)[string];
-        const results = jobs.map((each) => runExperiment(load, policy, each, loadMs));
-        return summarize(loadName, policyName, factor, results);
-      });
+      const bounds = jobs.map((each) => [each, boundCredit(load, each)] as const);
+      return {
+        policies: options.policy.map((policyName) => {
+          const policy = experimentPolicies[policyName] as ExperimentPolicy;
+          const results = jobs.map((each) => runExperiment(load, policy, each, loadMs));
+          return {
+            ...summarize(loadName, policyName, factor, results),
+            ledgers: results.map(({ credit, usage }, index) => ({
+              seed: seeds[index] as number,
+              credit: credit.toRecord(),
+              usage,
+            })),
+          };
+        }),
+        bound: summarizeBound(loadName, factor, loadBeginsAt(load.load), bounds),
+      };
     }),
   );
-  print(formatTable(header, summaries.map(createRow)));
+  const rows = comparisons.flatMap(({ policies, bound }) => [
+    ...policies.map(createRow),
+    createCreditCells(bound),
+  ]);
+  print(formatTable(header, rows));
   if (options.json !== undefined) {
-    writeFileSync(options.json, `${JSON.stringify(summaries, undefined, 2)}\n`);
+    writeFileSync(options.json, `${JSON.stringify(comparisons, undefined, 2)}\n`);
+  }
+  if (options.plot !== undefined) {
+    writeFileSync(options.plot, plotComparisons(comparisons));
   }
 }
--- a/packages/bench/src/dispatch/ledger.test.ts
+++ b/packages/bench/src/dispatch/ledger.test.ts
@@ -3,6 +3,7 @@
 import type { CreditEntry } from './CreditLedger.js';
 import { CreditLedger, CreditLoss, findLoss } from './CreditLedger.js';
 import type { UsageRun } from './UsageLedger.js';
+import { FluidBound } from './FluidBound.js';
 import { UsageLedger } from './UsageLedger.js';
 
 const unfinished: CreditEntry = {
@@ -100,6 +101,29 @@
   t.is(ledger.preemptedRuns, 2);
   t.is(ledger.youngPreemptedRuns, 1);
   t.is(ledger.capacity, 8);
+  t.deepEqual(ledger.occupiedBySecond, [3 / 8]);
   t.is(ledger.idle, 4);
   t.is(ledger.reserved, 1);
 });
+
+// A greedy choice without the intervals beyond a job's own would let both jobs have the last second.
+test('the bound gives contended time to the work with the greatest value per unit', (t) => {
+  const long = { releasedAt: 0, deadline: 2_000, amount: 2_000, value: 2 };
+  const short = { releasedAt: 1_000, deadline: 2_000, amount: 1_000, value: 3 };
+  const shares = new FluidBound(1, 10_000).maximize([long, short]);
+  t.is(shares.get(short), 1);
+  t.is(shares.get(long), 0.5);
+  const twice = new FluidBound(2, 10_000).maximize([long, short]);
+  t.is(twice.get(long), 1, 'twice the capacity');
+  const later = { ...short, releasedAt: 2_000, deadline: 3_000 };
+  t.is(new FluidBound(1, 10_000).maximize([long, later]).get(long), 1, 'no contention');
+});
+
+// Rounding times inwards would let a real schedule earn more than the bound.
+test('the bound rounds times outwards, and work due after the horizon costs nothing', (t) => {
+  const work = { releasedAt: 499, deadline: 501, amount: 1_000, value: 1 };
+  const bound = new FluidBound(1, 10_000);
+  t.is(bound.maximize([work]).get(work), 1);
+  const late = { ...work, deadline: 10_001, amount: 1_000_000 };
+  t.is(bound.maximize([late]).get(late), 1);
+});
--- a/packages/bench/src/dispatch/summarize.ts
+++ b/packages/bench/src/dispatch/summarize.ts
@@ -1,10 +1,10 @@
 import type { CreditLoss } from './CreditLedger.js';
-import { earnedShare } from './CreditLedger.js';
-import type { ExperimentResult } from './runExperiment.js';
+import { earnedShare, windowMs } from './CreditLedger.js';
+import type { ExperimentJob, ExperimentResult } from './runExperiment.js';
 import type { UsageLoss } from './UsageLedger.js';
 
-/** Means over all seeds of a load and a policy; shares of the credit owed or of the accelerators. */
-export interface ExperimentSummary {
+/** Credit earned, as means over all seeds of the shares of the credit owed. */
+export interface CreditSummary {
   readonly load: string;
   readonly policy: string;
   readonly factor: number;
@@ -12,11 +12,15 @@
   /** Standard error of `earned` over the seeds. */
   readonly earnedError: number;
   readonly earnedByQueue: Readonly<Record<string, number>>;
+  /** By window of arrival, in order of time. */
+  readonly earnedByWindow: readonly number[];
+}
+
+/** Means over all seeds of a load and a policy; shares of the credit owed or of the accelerators. */
+export interface ExperimentSummary extends CreditSummary {
   readonly earnedBySize: Readonly<Record<string, number>>;
   readonly earnedByAccount: Readonly<Record<string, number>>;
   readonly worstWindows: readonly [worst: number, second: number];
-  /** Earned share by window of arrival, in order of time. */
-  readonly earnedByWindow: readonly number[];
   readonly lost: Readonly<Record<CreditLoss, number>>;
   readonly idle: number;
   readonly reserved: number;
@@ -27,6 +31,8 @@
   readonly youngPreemptedRuns: number;
   readonly meanStepMs: number;
   readonly p99StepMs: number;
+  /** Share of the accelerators that are occupied, by second since the load began. */
+  readonly occupiedBySecond: readonly number[];
 }
 
 export function mean(values: readonly number[]): number {
@@ -39,6 +45,11 @@
   return values.length < 2 ? 0 : Math.sqrt(variance / (values.length - 1) / values.length);
 }
 
+/** Key that sorts windows by time. */
+function windowKey(from: number): string {
+  return `window-${String(from).padStart(8, '0')}`;
+}
+
 /** Means by key over the records that have the key. */
 export function meanRecord<Key extends string>(
   records: readonly Readonly<Record<Key, number>>[],
@@ -83,9 +94,7 @@
     );
   const windows = meanRecord(
     credits.map((credit) =>
-      Object.fromEntries(
-        credit.windows.map(({ from, share }) => [String(from).padStart(8, '0'), share]),
-      ),
+      Object.fromEntries(credit.windows.map(({ from, share }) => [windowKey(from), share])),
     ),
   );
   const runSeconds = usages.map(({ used, lost }) =>
@@ -116,5 +125,52 @@
     youngPreemptedRuns: mean(usages.map(({ youngPreemptedRuns }) => youngPreemptedRuns)),
     meanStepMs: mean(stepMs),
     p99StepMs: percentile(stepMs, 0.99),
+    occupiedBySecond: (usages[0]?.occupiedBySecond ?? []).map((_share, second) =>
+      mean(usages.map(({ occupiedBySecond }) => occupiedBySecond[second] ?? 0)),
+    ),
+  };
+}
+
+function shareBy(
+  jobs: readonly ExperimentJob[],
+  credits: readonly number[],
+  keyOf: (job: ExperimentJob) => string | undefined,
+): Record<string, number> {
+  const sums = new Map<string, { owed: number; earned: number }>();
+  jobs.forEach((job, index) => {
+    const key = keyOf(job);
+    if (key !== undefined) {
+      const { owed, earned } = sums.get(key) ?? { owed: 0, earned: 0 };
+      sums.set(key, { owed: owed + job.credit[0], earned: earned + (credits[index] ?? 0) });
+    }
+  });
+  return Object.fromEntries([...sums].map(([key, { owed, earned }]) => [key, earned / owed]));
+}
+
+/**
+ * Summarizes the upper bound of a load.
+ *
+ * @param beginsAt virtual time at which the load begins
+ * @param seeds jobs of each seed and their credit in the schedule that attains the bound
+ */
+export function summarizeBound(
+  load: string,
+  factor: number,
+  beginsAt: number,
+  seeds: readonly (readonly [jobs: readonly ExperimentJob[], credits: readonly number[]])[],
+): CreditSummary {
+  const means = (keyOf: (job: ExperimentJob) => string | undefined): Record<string, number> =>
+    meanRecord(seeds.map(([jobs, credits]) => shareBy(jobs, credits, keyOf)));
+  const earned = seeds.map(([jobs, credits]) => shareBy(jobs, credits, () => 'all').all ?? 1);
+  const windowOf = ({ arrival: { at } }: ExperimentJob): string | undefined =>
+    at < beginsAt ? undefined : windowKey(Math.floor((at - beginsAt) / windowMs) * windowMs);
+  return {
+    load,
+    policy: 'upper bound',
+    factor,
+    earned: mean(earned),
+    earnedError: standardError(earned),
+    earnedByQueue: means(({ arrival }) => arrival.queue),
+    earnedByWindow: Object.values(means(windowOf)),
   };
 }
