--- a/packages/bench/src/dispatch/boundCredit.ts
+++ b/packages/bench/src/dispatch/boundCredit.ts
@@ -3,6 +3,7 @@
 
 import { lateLimitFactor } from './CreditLedger.js';
 import type { ExperimentLoad } from './experimentLoads.js';
+import { fastestRunMs, speedsByRack } from './fastestRunMs.js';
 import type { FluidWork } from './FluidBound.js';
 import { FluidBound } from './FluidBound.js';
 import type { ExperimentJob } from './runExperiment.js';
@@ -12,16 +13,6 @@
 /** Milliseconds after the last arrival for which capacity is limited. */
 const horizonMs = 60_000;
 
-/** Sum of the speeds of all runners. */
-function totalSpeed({ load }: ExperimentLoad): number {
-  const { racks, runnersPerRack, variation } = load;
-  const { speeds, slowEvery, slowFactor } = variation;
-  return Array.from({ length: racks * runnersPerRack }, (_, index) => {
-    const isSlow = slowEvery > 0 && index % slowEvery === 0;
-    return speeds?.[index % speeds.length] ?? (isSlow ? 1 / slowFactor : 1);
-  }).reduce((sum, speed) => sum + speed, 0);
-}
-
 function amountOf({ arrival }: ExperimentJob, resource: keyof Resources): number {
   const workMs = stepWorkMs(arrival);
   return arrival.steps.reduce(
@@ -37,15 +28,20 @@
   jobs: readonly ExperimentJob[],
 ): number[] {
   const capacity = experiment.load.deployment.capacity ?? plainDeployment.capacity;
-  const rate = capacity[resource] * totalSpeed(experiment);
+  const speeds = speedsByRack(experiment.load).flat();
+  const rate = capacity[resource] * speeds.reduce((sum, speed) => sum + speed, 0);
   const horizon = Math.max(0, ...jobs.map(({ arrival }) => arrival.at)) + horizonMs;
+  const runMs = jobs.map(({ arrival }) => fastestRunMs(arrival, experiment.load));
   const maximize = (limitFactor: number, valueOf: (job: ExperimentJob) => number): number[] => {
-    const works = jobs.map((job): FluidWork => ({
-      releasedAt: job.arrival.at,
-      deadline: job.arrival.at + limitFactor * job.objectiveMs,
-      amount: amountOf(job, resource),
-      value: valueOf(job),
-    }));
+    const works = jobs.map((job, index): FluidWork => {
+      const limitMs = limitFactor * job.objectiveMs;
+      return {
+        releasedAt: job.arrival.at,
+        deadline: job.arrival.at + limitMs,
+        amount: amountOf(job, resource),
+        value: (runMs[index] as number) <= limitMs ? valueOf(job) : 0,
+      };
+    });
     const shares = new FluidBound(rate, horizon).maximize(works);
     return works.map((work) => work.value * (shares.get(work) ?? 0));
   };
@@ -60,7 +56,8 @@
  *
  * Credit in time is that of a late job plus the rest. `FluidBound` bounds the sum of each of the two
  * as if the other one used no capacity, and each resource of the runners as if the others were
- * unlimited; the scarcest resource counts.
+ * unlimited; the scarcest resource counts. A job earns nothing where it would be too late even if it
+ * were alone, see `fastestRunMs`.
  */
 export function boundCredit(experiment: ExperimentLoad, jobs: readonly ExperimentJob[]): number[] {
   const total = (credits: readonly number[]): number =>
--- a/packages/bench/src/dispatch/dispatchBench.ts
+++ b/packages/bench/src/dispatch/dispatchBench.ts
@@ -75,6 +75,14 @@
   ];
 }
 
+function withFarSlowdown(
+  { load, creditByQueue }: ExperimentLoad,
+  farSlowdown: number | undefined,
+): ExperimentLoad {
+  const deployment = { ...load.deployment, ...(farSlowdown !== undefined && { farSlowdown }) };
+  return { load: { ...load, deployment }, creditByQueue };
+}
+
 /**
  * Replays the loads of deployments through the decisions and prints the credit that callers would
  * give, the use of the accelerators and the time of the dispatch steps.
@@ -103,6 +111,10 @@
       array: true,
       describe: 'policies to compare',
     })
+    .option('far-slowdown', {
+      type: 'number',
+      describe: 'factor by which a gang that prefers one rack slows down on several',
+    })
     .option('json', { type: 'string', describe: 'file for the ledgers of all replays' })
     .option('plot', { type: 'string', describe: 'SVG file for charts' })
     .strict()
@@ -111,7 +123,10 @@
   const seeds = Array.from({ length: options.seeds }, (_, index) => options.first + index);
   const comparisons = options.load.flatMap((loadName) =>
     options.factor.map((factor): LoadComparison => {
-      const load = experimentLoads[loadName] as ExperimentLoad;
+      const load = withFarSlowdown(
+        experimentLoads[loadName] as ExperimentLoad,
+        options.farSlowdown,
+      );
       const jobs = seeds.map((seed) => generateJobs(load, seed, loadMs, factor));
       const bounds = jobs.map((each) => [each, boundCredit(load, each)] as const);
       return {
