Numeric speeds of runners; remaining time of runs from their progress

Cause: RunnerSlowdown only knew slow or not slow. A step that ran on slow runners alone showed none of them as slow, the fastest members (the first to report) were never compared, and alike runners with uneven tasks were taken for slow, which changed placements. Remaining time ignored reported progress and was 0 once an estimate was outrun. Change: RunnerSpeed, StepDurations and SpeedClasses learn numeric speeds in classes that differ by more than chance; SpeedRequirement gives the lowest class on which a job meets its objective, for PlacementSearch and VictimSearch. Durations are learned for speed 1. RemainingTime serves draining, ranks, backlog and the order of victims of the same cost. The stored field paces keeps its form; a variance is appended. A restarted runner starts without samples. Event J770 and three metrics show the classes.

--- a/packages/dispatch/src/Admission.ts
+++ b/packages/dispatch/src/Admission.ts
@@ -3,6 +3,7 @@
 import type { JobSpecification, Queue } from './Job.js';
 import { isFinal } from './Job.js';
 import type { JobRun } from './JobRun.js';
+import type { RemainingRun } from './RemainingTime.js';
 import type { Runner } from './Runner.js';
 
 /** Status of a queue, from which admission estimates the wait of a new job. */
@@ -86,6 +87,7 @@
   jobs: Iterable<JobRun>,
   runners: Iterable<Runner>,
   estimates: DurationEstimates,
+  remainingRun: RemainingRun,
 ): Map<string, QueueStatus> {
   const pending = new Map<string, number>();
   const workByPriority = new Map<number, number>();
@@ -98,7 +100,8 @@
       pending.set(queue, (pending.get(queue) ?? 0) + 1);
     }
     const { priority } = job.queue;
-    const work = (workByPriority.get(priority) ?? 0) + remainingAcceleratorMs(job, estimates);
+    const work =
+      (workByPriority.get(priority) ?? 0) + remainingAcceleratorMs(job, estimates, remainingRun);
     workByPriority.set(priority, work);
   });
   const sizes = [...runners].map(({ listed }) => listed.capacity.accelerators);
@@ -122,10 +125,23 @@
   );
 }
 
-function remainingAcceleratorMs(job: JobRun, estimates: DurationEstimates): number {
+function remainingAcceleratorMs(
+  job: JobRun,
+  estimates: DurationEstimates,
+  remainingRun: RemainingRun,
+): number {
   const { remainders } = job;
   return job.specification.steps.reduce((sum, step, index) => {
-    const tasks = step.isLasting ? 0 : (remainders[index]?.tasks ?? 0);
-    return sum + tasks * step.size.accelerators * estimates.estimate(job.queue.name, step);
+    const { tasks = 0, running = [] } = remainders[index] ?? {};
+    if (step.isLasting || tasks === 0) {
+      return sum;
+    }
+    const runningTasks = running.reduce((count, { members }) => count + members.length, 0);
+    const runningMs = running.reduce(
+      (total, group) => total + group.members.length * remainingRun(group),
+      0,
+    );
+    const idleMs = (tasks - runningTasks) * estimates.estimate(job.queue.name, step);
+    return sum + step.size.accelerators * (runningMs + idleMs);
   }, 0);
 }
--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -3,6 +3,7 @@
 import type { DurationEstimates } from './DurationEstimates.js';
 import { resourcesOf } from './Job.js';
 import type { JobRun } from './JobRun.js';
+import type { RemainingRun } from './RemainingTime.js';
 import { coresOf } from './Resources.js';
 
 /** Multiple of the objective up to which a late job still has value for its client. */
@@ -41,7 +42,11 @@
 const minScoredWork = 100;
 
 /** Expected milliseconds of the longest remaining chain of steps. */
-export function remainingChainMs(job: JobRun, estimates: DurationEstimates, now: number): number {
+export function remainingChainMs(
+  job: JobRun,
+  estimates: DurationEstimates,
+  remainingRun: RemainingRun,
+): number {
   const { remainders } = job;
   const lengths: number[] = [];
   job.specification.steps.forEach((step, index) => {
@@ -49,9 +54,8 @@
     const remainder = remainders[index];
     lengths[index] = before;
     if (remainder !== undefined && remainder.tasks > 0) {
-      const expectedMs = estimates.estimate(job.queue.name, step);
-      const ranMs = remainder.hasIdle ? 0 : now - remainder.latestStart;
-      lengths[index] = before + Math.max(0, expectedMs - ranMs);
+      const idleMs = remainder.hasIdle ? estimates.estimate(job.queue.name, step) : 0;
+      lengths[index] = before + Math.max(idleMs, ...remainder.running.map(remainingRun));
     }
   });
   return Math.max(0, ...lengths);
@@ -97,10 +101,11 @@
   isGuaranteed: boolean,
   estimates: DurationEstimates,
   now: number,
+  remainingRun: RemainingRun,
 ): JobRank {
   const objective = objectiveMs(job, estimates);
   const waitedMs = now - job.arrivedAt;
-  const leftMs = remainingChainMs(job, estimates, now);
+  const leftMs = remainingChainMs(job, estimates, remainingRun);
   const work = remainingWork(job, estimates);
   return {
     job,
--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -7,8 +7,10 @@
 import { countFitting } from './Resources.js';
 import type { Placement } from './CapacityLedger.js';
 import { countFittingMembers, isEligible, CapacityLedger } from './CapacityLedger.js';
+import { remainingRunMs } from './RemainingTime.js';
 import type { Runner } from './Runner.js';
 import { isUsable } from './RunnerAvailability.js';
+import { SpeedRequirement } from './SpeedRequirement.js';
 import type { TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 import type { TaskGroup } from './TaskGroup.js';
 import { TaskGroupPhase } from './TaskGroup.js';
@@ -51,6 +53,11 @@
 
   private readonly placementSearch: PlacementSearch;
 
+  private readonly speedRequirement: SpeedRequirement;
+
+  private readonly remainingRun = (group: TaskGroup): number =>
+    remainingRunMs(group, this.state, this.now);
+
   private readonly guaranteedJobs: ReadonlySet<JobRun>;
 
   private readonly usableRunners: readonly Runner[];
@@ -93,7 +100,8 @@
     const closedCount = this.usableRunners.length - openRunners.length;
     this.closableRunners = Math.max(1, this.usableRunners.length * maxClosedShare) - closedCount;
     this.ledger = new CapacityLedger(openRunners);
-    this.placementSearch = new PlacementSearch(this.ledger);
+    this.speedRequirement = new SpeedRequirement(state, now);
+    this.placementSearch = new PlacementSearch(this.ledger, this.speedRequirement);
     this.guaranteedJobs = coveredJobs(state.openJobs, state.accounts);
     const maxHeadroom = this.totalAccelerators * state.policy.headroomShare;
     this.headroom = state.urgentHeadroom.at(now, maxHeadroom);
@@ -119,7 +127,9 @@
     const { estimates } = this.state;
     return [...this.state.openJobs]
       .filter((job) => this.waitingGroups(job).length > 0)
-      .map((job) => rankJob(job, this.guaranteedJobs.has(job), estimates, this.now))
+      .map((job) =>
+        rankJob(job, this.guaranteedJobs.has(job), estimates, this.now, this.remainingRun),
+      )
       .sort(compareRanks);
   }
 
@@ -216,6 +226,8 @@
       this.now,
       (victim) => this.mayPreempt(victim, rank),
       maxCost,
+      this.speedRequirement.of(group),
+      this.remainingRun,
     );
     const plan = search.find(group, !this.couldFitPreferredRack(group));
     if (plan === undefined) {
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -4,7 +4,8 @@
 import type { JobRun } from './JobRun.js';
 import { RunCounters } from './RunCounters.js';
 import type { Runner } from './Runner.js';
-import type { SlowdownRecord } from './RunnerSlowdown.js';
+import type { SpeedRecord } from './RunnerSpeed.js';
+import { SpeedClasses } from './SpeedClasses.js';
 import type { TaskGroup } from './TaskGroup.js';
 import { UrgentDemand } from './UrgentDemand.js';
 import { UrgentHeadroom } from './UrgentHeadroom.js';
@@ -57,6 +58,7 @@
   | 'reportOutdated'
   | 'runnerQuarantined'
   | 'evacuationsChanged'
+  | 'speedClassesChanged'
   | 'runnerLeasesExpired'
   | 'orphanStopped';
 
@@ -100,7 +102,7 @@
    * give each job a base value.
    */
   readonly lostWorkBase: number;
-  /** Whether slow runners are detected, so that urgent work is placed on fast ones. */
+  /** Whether the speeds of runners are learned and influence placements. */
   readonly detectsSlowRunners: boolean;
 }
 
@@ -136,8 +138,10 @@
   /** Monotonic time at which the latest listing of the runners was requested. */
   public listingRequestedAt = -Infinity;
 
-  /** Slowdowns learned by the previous scheduling instance, by incarnation of the runner. */
-  public readonly inheritedSlowdowns = new Map<string, SlowdownRecord>();
+  /** Speeds learned by the previous scheduling instance, by incarnation of the runner. */
+  public readonly inheritedSpeeds = new Map<string, SpeedRecord>();
+
+  public readonly speedClasses = new SpeedClasses();
 
   public readonly estimates = new DurationEstimates();
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -18,6 +18,7 @@
 import type { RunnerReport } from './ReportHandler.js';
 import { ReportHandler } from './ReportHandler.js';
 import { ProgressRestorer } from './ProgressRestorer.js';
+import { remainingRunMs } from './RemainingTime.js';
 import { vacateDrainingRunners } from './drainingRunners.js';
 import type { ListedRunner } from './Runner.js';
 import { extendLease, occupantKey } from './Runner.js';
@@ -324,12 +325,14 @@
   }
 
   /** Status of each queue, for the admission of new jobs. */
-  public describeQueues(): Map<string, QueueStatus> {
+  public describeQueues(now: number): Map<string, QueueStatus> {
     const { queues, openJobs, runners, estimates } = this.state;
     const capacity = [...runners.values()].filter((runner) =>
       isLastingCapacity(this.state, runner),
     );
-    return describeQueues(queues, openJobs, capacity, estimates);
+    return describeQueues(queues, openJobs, capacity, estimates, (group) =>
+      remainingRunMs(group, this.state, now),
+    );
   }
 
   private createDueGroups(wallNow: number): void {
--- a/packages/dispatch/src/JobRun.ts
+++ b/packages/dispatch/src/JobRun.ts
@@ -1,6 +1,6 @@
 import type { JobSpecification, Queue } from './Job.js';
 import { isFinal, JobState } from './Job.js';
-import { StepDurations } from './RunnerSlowdown.js';
+import { StepDurations } from './StepDurations.js';
 import { createMember, TaskGroup, TaskGroupPhase } from './TaskGroup.js';
 
 /** Remaining work of one step over all occurrences. */
@@ -9,8 +9,8 @@
   tasks: number;
   /** Whether some task group is neither done nor running. */
   hasIdle: boolean;
-  /** Latest monotonic start time of the running task groups. */
-  latestStart: number;
+  /** Task groups that run. */
+  readonly running: TaskGroup[];
 }
 
 /** A job and the progress of its task groups. */
@@ -117,7 +117,7 @@
     this.remainderByStep = this.specification.steps.map(() => ({
       tasks: 0,
       hasIdle: false,
-      latestStart: 0,
+      running: [],
     }));
     const waiting: TaskGroup[] = [];
     const openSteps = new Set<number>();
@@ -129,8 +129,11 @@
       }
       openSteps.add(group.occurrence * steps + group.stepIndex);
       remainder.tasks += group.members.length;
-      remainder.hasIdle ||= group.phase !== TaskGroupPhase.running;
-      remainder.latestStart = Math.max(remainder.latestStart, group.startedAt);
+      if (group.phase === TaskGroupPhase.running) {
+        remainder.running.push(group);
+      } else {
+        remainder.hasIdle = true;
+      }
       if (group.phase === TaskGroupPhase.waiting) {
         waiting.push(group);
       }
--- a/packages/dispatch/src/LearnedState.ts
+++ b/packages/dispatch/src/LearnedState.ts
@@ -1,15 +1,15 @@
 import type { DispatchState } from './DispatchState.js';
 import type { DurationRecord } from './DurationEstimates.js';
-import type { SlowdownRecord } from './RunnerSlowdown.js';
+import type { SpeedRecord } from './RunnerSpeed.js';
 
 /** Learned state of queues, runners and demand, stored for the next scheduling instance. */
 export interface LearnedState {
   readonly durations: readonly DurationRecord[];
-  /** Slowdowns by incarnation of the runner; `paces` is the stored field name. */
+  /** Speeds by incarnation of the runner; `paces` is the stored field name. */
   readonly paces: readonly (readonly [
     runnerId: string,
     processStartedAt: number,
-    slowdown: SlowdownRecord,
+    speed: SpeedRecord,
   ])[];
   /** Accelerators kept free for urgent jobs. */
   readonly headroom: number;
@@ -21,22 +21,22 @@
   return {
     durations: state.estimates.records,
     paces: [...state.runners.values()]
-      .filter(({ slowdown }) => slowdown.isKnown)
-      .map(({ id, listed, slowdown }) => [id, listed.processStartedAt, slowdown.record] as const),
+      .filter(({ speed }) => speed.samples > 0)
+      .map(({ id, listed, speed }) => [id, listed.processStartedAt, speed.record] as const),
     headroom: Math.round(state.urgentHeadroom.at(now, Infinity)),
     demand: state.urgentDemand.record,
   };
 }
 
-/** Restores the learned state; slowdowns are applied when their runners are listed. */
+/** Restores the learned state; speeds are applied when their runners are listed. */
 export function restoreLearnedState(
   state: DispatchState,
   learnedState: LearnedState,
   now: number,
 ): void {
   state.estimates.restore(learnedState.durations);
-  learnedState.paces.forEach(([id, startedAt, slowdown]) => {
-    state.inheritedSlowdowns.set(incarnationKey(id, startedAt), slowdown);
+  learnedState.paces.forEach(([id, startedAt, speed]) => {
+    state.inheritedSpeeds.set(incarnationKey(id, startedAt), speed);
   });
   state.urgentHeadroom.restore(learnedState.headroom, now);
   state.urgentDemand.restore(learnedState.demand);
--- a/packages/dispatch/src/PlacementSearch.ts
+++ b/packages/dispatch/src/PlacementSearch.ts
@@ -1,7 +1,11 @@
 import type { Placement, CapacityLedger, RunnerCapacity } from './CapacityLedger.js';
 import { countFittingMembers, isEligible } from './CapacityLedger.js';
+import type { SpeedRequirement } from './SpeedRequirement.js';
 import type { TaskGroup } from './TaskGroup.js';
 
+/** Rank of placements that are too slow, above that of every adequate one. */
+const tooSlowRank = 1_000;
+
 /** A runner and the number of members that fit on it. */
 interface Candidate {
   readonly capacity: RunnerCapacity;
@@ -16,7 +20,10 @@
  * rack, which leaves whole runners and racks empty for the widest gangs.
  */
 export class PlacementSearch {
-  public constructor(private readonly ledger: CapacityLedger) {}
+  public constructor(
+    private readonly ledger: CapacityLedger,
+    private readonly speedRequirement: SpeedRequirement,
+  ) {}
 
   /**
    * @param mayLeaveRack whether members may also run outside the rack of their data or be spread
@@ -38,7 +45,10 @@
   ): Placement | undefined {
     const { dataRack, prefersOneRack } = group.step;
     if (dataRack !== undefined) {
-      const local = findWithin(group, (this.ledger.byRack.get(dataRack) ?? []).filter(isAllowed));
+      const local = this.findWithin(
+        group,
+        (this.ledger.byRack.get(dataRack) ?? []).filter(isAllowed),
+      );
       if (local !== undefined || !mayLeaveRack) {
         return local;
       }
@@ -49,72 +59,119 @@
         return packed;
       }
     }
-    return findWithin(group, this.ledger.all.filter(isAllowed));
+    return this.findWithin(group, this.ledger.all.filter(isAllowed));
   }
 
   private findInOneRack(
     group: TaskGroup,
     isAllowed: (capacity: RunnerCapacity) => boolean,
   ): Placement | undefined {
-    const isUrgent = group.job.queue.priority === 0;
     let best: Placement | undefined;
-    let lowestSlowRank = Infinity;
+    let lowestSpeedRank = Infinity;
     let leastRemaining = Infinity;
     this.ledger.byRack.forEach((capacities) => {
-      const placement = findWithin(group, capacities.filter(isAllowed));
+      const placement = this.findWithin(group, capacities.filter(isAllowed));
       if (placement === undefined) {
         return;
       }
       const remaining = capacities.reduce((sum, { free }) => sum + free.accelerators, 0);
-      const placementSlowRank = isUrgent && this.hasSlowRunner(placement) ? 1 : 0;
+      const placementSpeedRank = this.speedRank(group, placement);
       if (
-        placementSlowRank < lowestSlowRank ||
-        (placementSlowRank === lowestSlowRank && remaining < leastRemaining)
+        placementSpeedRank < lowestSpeedRank ||
+        (placementSpeedRank === lowestSpeedRank && remaining < leastRemaining)
       ) {
         best = placement;
-        lowestSlowRank = placementSlowRank;
+        lowestSpeedRank = placementSpeedRank;
         leastRemaining = remaining;
       }
     });
     return best;
   }
 
-  private hasSlowRunner(placement: Placement): boolean {
-    return [...placement.keys()].some((id) => this.ledger.runner(id)?.slowdown.isSlow === true);
+  // Lower is better. A gang is as fast as its slowest member. Urgent work takes any placement that
+  // meets its objective, other work the slowest of these; if none does, the fastest is best.
+  private speedRank(group: TaskGroup, placement: Placement): number {
+    if (!this.speedRequirement.isUneven) {
+      return 0;
+    }
+    let slowest = Infinity;
+    placement.forEach((_count, id) => {
+      slowest = Math.min(slowest, this.ledger.runner(id)?.speed.value ?? 1);
+    });
+    if (slowest < this.speedRequirement.of(group)) {
+      return tooSlowRank - slowest;
+    }
+    return group.job.queue.priority === 0 ? 0 : slowest;
+  }
+
+  // Avoids runners on which the task group has failed if it fits elsewhere: its attempts are limited.
+  private findWithin(
+    group: TaskGroup,
+    capacities: readonly RunnerCapacity[],
+  ): Placement | undefined {
+    const preferred = capacities.filter(({ runner }) => !group.failedRunners.has(runner.id));
+    const placement = this.placeWithin(group, preferred);
+    return placement === undefined && preferred.length < capacities.length
+      ? this.placeWithin(group, capacities)
+      : placement;
   }
-}
 
-// Avoids runners on which the task group has failed if it fits elsewhere: its attempts are limited.
-function findWithin(
-  group: TaskGroup,
-  capacities: readonly RunnerCapacity[],
-): Placement | undefined {
-  const preferred = capacities.filter(({ runner }) => !group.failedRunners.has(runner.id));
-  const placement = placeWithin(group, preferred);
-  return placement === undefined && preferred.length < capacities.length
-    ? placeWithin(group, capacities)
-    : placement;
+  private placeWithin(
+    group: TaskGroup,
+    capacities: readonly RunnerCapacity[],
+  ): Placement | undefined {
+    const candidates = capacities
+      .filter(({ runner }) => isEligible(group, runner))
+      .map((capacity) => ({
+        capacity,
+        fitting: countFittingMembers(group, capacity.runner, capacity.free),
+      }))
+      .filter(({ fitting }) => fitting > 0)
+      .sort(group.isSuspect ? compareForSuspect : compareFullness);
+    const count = group.members.length;
+    return this.speedRequirement.isUneven && !group.isSuspect
+      ? this.assignBySpeed(group, candidates)
+      : assign(count, candidates);
+  }
+
+  // Members of a gang on runners of like speed, since faster ones would wait for the slowest.
+  private assignBySpeed(group: TaskGroup, candidates: readonly Candidate[]): Placement | undefined {
+    const count = group.members.length;
+    const total = candidates.reduce((sum, { fitting }) => sum + fitting, 0);
+    if (total < count) {
+      return undefined;
+    }
+    const required = this.speedRequirement.of(group);
+    const { levels } = this.speedRequirement;
+    const adequate = levels.filter((level) => level >= required);
+    const tooSlow = levels.filter((level) => level < required).reverse();
+    for (const level of adequate) {
+      const alike = candidates.filter(({ capacity }) => capacity.runner.speed.value === level);
+      const placement = assign(count, alike);
+      if (placement !== undefined) {
+        return placement;
+      }
+    }
+    const slowestFirst = [...candidates].sort(compareSpeed);
+    for (const level of [required, ...tooSlow]) {
+      const allowed = slowestFirst.filter(({ capacity }) => capacity.runner.speed.value >= level);
+      const placement = assign(count, allowed);
+      if (placement !== undefined) {
+        return placement;
+      }
+    }
+    return undefined;
+  }
 }
 
-function placeWithin(
-  group: TaskGroup,
-  capacities: readonly RunnerCapacity[],
-): Placement | undefined {
-  const compareForClass = group.job.queue.priority === 0 ? compareForUrgent : compareForOthers;
-  const candidates = capacities
-    .filter(({ runner }) => isEligible(group, runner))
-    .map((capacity) => ({
-      capacity,
-      fitting: countFittingMembers(group, capacity.runner, capacity.free),
-    }))
-    .filter(({ fitting }) => fitting > 0)
-    .sort(group.isSuspect ? compareForSuspect : compareForClass);
+/** Assigns members to the candidates in their order; undefined if they do not all fit. */
+function assign(count: number, candidates: readonly Candidate[]): Placement | undefined {
   const placement = new Map<string, number>();
-  let missing = group.members.length;
+  let missing = count;
   for (const { capacity, fitting } of candidates) {
-    const count = Math.min(fitting, missing);
-    placement.set(capacity.runner.id, count);
-    missing -= count;
+    const assigned = Math.min(fitting, missing);
+    placement.set(capacity.runner.id, assigned);
+    missing -= assigned;
     if (missing === 0) {
       return placement;
     }
@@ -126,22 +183,12 @@
 function compareForSuspect(left: Candidate, right: Candidate): number {
   return (
     left.capacity.runner.occupants.size - right.capacity.runner.occupants.size ||
-    compareForOthers(left, right)
+    compareFullness(left, right)
   );
 }
 
-// Urgent task groups prefer fast runners because their objectives are tight; all others prefer slow
-// runners and leave the fast ones to urgent work.
-function compareForUrgent(left: Candidate, right: Candidate): number {
-  return slowRank(left) - slowRank(right) || compareFullness(left, right);
-}
-
-function compareForOthers(left: Candidate, right: Candidate): number {
-  return slowRank(right) - slowRank(left) || compareFullness(left, right);
-}
-
-function slowRank({ capacity }: Candidate): number {
-  return capacity.runner.slowdown.isSlow ? 1 : 0;
+function compareSpeed(left: Candidate, right: Candidate): number {
+  return left.capacity.runner.speed.value - right.capacity.runner.speed.value;
 }
 
 // Sorts the runner with the least free capacity first.
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -1,5 +1,6 @@
 import type { DispatchState } from './DispatchState.js';
 import { EndEvidence } from './EndEvidence.js';
+import { projectedTaskMs } from './RemainingTime.js';
 import type { Occupant, Runner } from './Runner.js';
 import { occupantKey } from './Runner.js';
 import type { RunnerCrashes } from './RunnerCrashes.js';
@@ -41,7 +42,6 @@
   readonly hasMoreEnds: boolean;
 }
 
-const completePercent = 100;
 /** Index of the member that a gang is keyed by. */
 const firstMemberIndex = 0;
 
@@ -104,6 +104,7 @@
     runner.isFenced = false;
     runner.isEntryOutdated = true;
     runner.processedEndNumber = 0;
+    runner.speed.reset();
     runner.occupants.forEach(({ member }) => member.history.recordRestart());
     runner.strays.forEach(({ history }) => history.recordRestart());
   }
@@ -220,7 +221,7 @@
     occupant.member.history.recordReportable(now);
     updateProgress(occupant, running, now);
     if (this.state.policy.detectsSlowRunners) {
-      recordSlowdown(runner, occupant, now);
+      recordSpeed(runner, occupant);
     }
     if (occupant.member.state === MemberState.starting) {
       this.lifecycle.confirmMember(occupant.group, occupant.member, now);
@@ -246,33 +247,29 @@
     group.saved = running.saved;
     group.savedAt = now;
   }
+  const isOrigin = group.isResumed && member.originAt === 0;
+  if (isOrigin || group.phase !== TaskGroupPhase.running) {
+    member.originPercent = running.percent;
+    member.originAt = now;
+  }
   if (running.percent !== member.percent || group.phase !== TaskGroupPhase.running) {
     member.percent = running.percent;
     member.progressedAt = now;
   }
 }
 
-/** Range of progress in percent from which the total duration of a task can be projected. */
-const representativePercent = { from: 20, to: 99 };
-
-function recordSlowdown(runner: Runner, { group, member }: Occupant, now: number): void {
+function recordSpeed(runner: Runner, { group, member }: Occupant): void {
   const { step } = group;
-  const isRepresentative =
-    !member.isSlowdownRecorded &&
+  const isComparable =
+    !member.isSpeedRecorded &&
     group.phase === TaskGroupPhase.running &&
     !group.isResumed &&
     !step.isLasting &&
     !step.usesLeftover &&
-    member.percent >= representativePercent.from &&
-    member.percent <= representativePercent.to &&
     (step.dataRack === undefined || step.dataRack === runner.listed.rack);
-  if (!isRepresentative) {
-    return;
-  }
-  member.isSlowdownRecorded = true;
-  const projectedMs = ((now - group.startedAt) * completePercent) / member.percent;
-  const deviation = group.job.stepDurations[group.stepIndex]?.compareProjected(projectedMs);
-  if (deviation !== undefined) {
-    runner.slowdown.add(deviation);
+  const projectedMs = isComparable ? projectedTaskMs(group, member) : undefined;
+  if (projectedMs !== undefined) {
+    member.isSpeedRecorded = true;
+    group.job.stepDurations[group.stepIndex]?.add(runner.speed, projectedMs);
   }
 }
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -1,7 +1,7 @@
 import type { DispatchBounds } from './DispatchState.js';
 import type { Resources } from './Resources.js';
 import { add, clampToZero, noResources, subtract } from './Resources.js';
-import { RunnerSlowdown } from './RunnerSlowdown.js';
+import { RunnerSpeed } from './RunnerSpeed.js';
 import type { StrayRun } from './StrayRun.js';
 import type { Member, TaskGroup } from './TaskGroup.js';
 import { MemberState, TaskGroupPhase } from './TaskGroup.js';
@@ -95,7 +95,7 @@
   /** Ids of jobs with runs that failed here since the last successful run. */
   public readonly failedJobs = new Set<string>();
 
-  public readonly slowdown = new RunnerSlowdown();
+  public readonly speed = new RunnerSpeed();
 
   public constructor(public listed: ListedRunner) {}
 
--- a/packages/dispatch/src/RunnerChecks.ts
+++ b/packages/dispatch/src/RunnerChecks.ts
@@ -3,6 +3,7 @@
 import type { Runner } from './Runner.js';
 import { extendLease, occupantKey } from './Runner.js';
 import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
+import { updateSpeedClasses } from './SpeedClasses.js';
 import { TaskGroupPhase } from './TaskGroup.js';
 import type { TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 
@@ -26,6 +27,7 @@
   /** @param steadyNow reading of a clock that never runs ahead; leases are judged by it */
   public run(now: number, steadyNow: number): void {
     this.state.runners.forEach((runner) => this.checkRunner(runner, now, steadyNow));
+    updateSpeedClasses(this.state);
   }
 
   public recordStops(stops: readonly StopCommand[], now: number): void {
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -3,6 +3,7 @@
 import type { ReportHandler } from './ReportHandler.js';
 import type { ListedRunner } from './Runner.js';
 import { Runner } from './Runner.js';
+import { updateSpeedClasses } from './SpeedClasses.js';
 
 /**
  * Milliseconds for which a missing entry is ignored. Entries that expired while the registry was
@@ -33,6 +34,7 @@
         this.recordMissing(runner, now);
       }
     });
+    updateSpeedClasses(this.state);
   }
 
   private recordMissing(runner: Runner, now: number): void {
@@ -81,10 +83,10 @@
   private createRunner(entry: ListedRunner): Runner {
     const runner = new Runner(entry);
     const key = incarnationKey(entry.id, entry.processStartedAt);
-    const inheritedSlowdown = this.state.inheritedSlowdowns.get(key);
-    if (inheritedSlowdown !== undefined) {
-      runner.slowdown.restore(inheritedSlowdown);
-      this.state.inheritedSlowdowns.delete(key);
+    const inheritedSpeed = this.state.inheritedSpeeds.get(key);
+    if (inheritedSpeed !== undefined) {
+      runner.speed.restore(inheritedSpeed);
+      this.state.inheritedSpeeds.delete(key);
     }
     return runner;
   }
--- a/packages/dispatch/src/TaskGroup.ts
+++ b/packages/dispatch/src/TaskGroup.ts
@@ -58,8 +58,15 @@
   percent: number;
   /** Monotonic time at which `percent` last changed. */
   progressedAt: number;
-  /** Whether the progress of this run has been recorded in the slowdown of its runner. */
-  isSlowdownRecorded: boolean;
+  /**
+   * Progress in percent when this run became known here: that of an earlier run may be resumed, or
+   * an earlier scheduling instance may have started it.
+   */
+  originPercent: number;
+  /** Monotonic time of `originPercent`; 0: the start of the run. */
+  originAt: number;
+  /** Whether the progress of this run has been recorded in the speed of its runner. */
+  isSpeedRecorded: boolean;
 }
 
 /** Tasks that start and end together: a whole gang, or a single task. */
@@ -188,6 +195,8 @@
     isStopRequested: false,
     percent: 0,
     progressedAt: 0,
-    isSlowdownRecorded: false,
+    originPercent: 0,
+    originAt: 0,
+    isSpeedRecorded: false,
   };
 }
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -3,6 +3,7 @@
 import { JobState } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import type { Placement } from './CapacityLedger.js';
+import { slowestSpeed } from './RemainingTime.js';
 import type { Occupant, Runner } from './Runner.js';
 import { occupantKey } from './Runner.js';
 import { RunHistory } from './RunHistory.js';
@@ -368,7 +369,9 @@
       member.state = MemberState.ended;
     });
     if (run === group.run && group.startedAt > 0 && group.saved === '') {
-      this.state.estimates.record(group.job.queue.name, group.step, now - group.startedAt);
+      // Durations are learned for speed 1.
+      const workMs = (now - group.startedAt) * slowestSpeed(group, this.state.runners);
+      this.state.estimates.record(group.job.queue.name, group.step, workMs);
     }
     group.apply('finish');
     group.job.isDirty = true;
@@ -432,7 +435,9 @@
   member.history = history;
   member.isStopRequested = false;
   member.percent = 0;
-  member.isSlowdownRecorded = false;
+  member.originPercent = 0;
+  member.originAt = 0;
+  member.isSpeedRecorded = false;
   runner.addOccupant({ group, member, run: group.run });
 }
 
--- a/packages/dispatch/src/VictimSearch.ts
+++ b/packages/dispatch/src/VictimSearch.ts
@@ -2,6 +2,7 @@
 
 import type { Placement, CapacityLedger, RunnerCapacity } from './CapacityLedger.js';
 import { countFittingMembers, isEligible } from './CapacityLedger.js';
+import type { RemainingRun } from './RemainingTime.js';
 import type { Resources } from './Resources.js';
 import { add, clampToZero, coresOf, multiply, subtract } from './Resources.js';
 import type { Runner } from './Runner.js';
@@ -57,6 +58,10 @@
     private readonly mayPreempt: (victim: TaskGroup) => boolean,
     /** Maximum total cost of the victims in core-seconds. */
     private readonly maxCost: number,
+    /** Speed of the runners that are searched first. */
+    private readonly requiredSpeed: number,
+    /** Expected remaining milliseconds of a victim. */
+    private readonly remainingRun: RemainingRun,
   ) {}
 
   /**
@@ -64,7 +69,8 @@
    *   over several racks, which slows them down
    */
   public find(group: TaskGroup, mayLeaveRack: boolean): ReclaimPlan | undefined {
-    const isFast = ({ runner }: RunnerCapacity): boolean => !runner.slowdown.isSlow;
+    const isFast = ({ runner }: RunnerCapacity): boolean =>
+      runner.speed.value >= this.requiredSpeed;
     return this.findAmong(group, mayLeaveRack, isFast) ?? this.findAmong(group, mayLeaveRack);
   }
 
@@ -204,7 +210,12 @@
     });
     const costPerCore = (group: TaskGroup): number =>
       unsavedWork(group, this.now) / Math.max(1, coresOf(resourcesOn(group, runner.id)));
-    return [...groups].sort((left, right) => costPerCore(left) - costPerCore(right));
+    // Of victims that cost the same, the one that would occupy its capacity longest is stopped.
+    return [...groups].sort(
+      (left, right) =>
+        costPerCore(left) - costPerCore(right) ||
+        this.remainingRun(right) - this.remainingRun(left),
+    );
   }
 }
 
--- a/packages/dispatch/src/drainingRunners.ts
+++ b/packages/dispatch/src/drainingRunners.ts
@@ -1,5 +1,5 @@
 import type { DispatchState } from './DispatchState.js';
-import type { TaskGroup } from './TaskGroup.js';
+import { remainingRunMs } from './RemainingTime.js';
 import { TaskGroupPhase } from './TaskGroup.js';
 import type { TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 
@@ -23,7 +23,7 @@
     }
     const remainsMs = Math.max(0, runner.departsAt - now);
     runner.occupants.forEach(({ group }) => {
-      const groupLeftMs = remainingMs(state, group, now);
+      const groupLeftMs = remainingRunMs(group, state, now);
       if (group.phase !== TaskGroupPhase.running || groupLeftMs <= remainsMs) {
         return;
       }
@@ -37,8 +37,3 @@
     });
   });
 }
-
-function remainingMs({ estimates }: DispatchState, group: TaskGroup, now: number): number {
-  const expectedMs = estimates.estimate(group.job.queue.name, group.step);
-  return Math.max(0, expectedMs - (now - group.startedAt));
-}
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -186,6 +186,7 @@
     const { ends, overlaps, unsettledStarts, crashes, crashingJobs } = this.counters;
     const loadCost = this.scheduling?.loadCost;
     const progress = this.scheduling?.progress;
+    const speedClasses = this.scheduling?.dispatcher.state.speedClasses;
     return {
       run_ends_reported: ends.reported,
       run_ends_refused: ends.refused,
@@ -204,6 +205,9 @@
       start_store_wait_milliseconds_max: progress?.maxStartWaitMs ?? 0,
       followers: this.feedServer.followers,
       jobs_known: this.statusCache.size,
+      runner_speed_classes: speedClasses?.levels.length ?? 0,
+      runner_speed_slowest: speedClasses?.levels[0] ?? 0,
+      runner_speed_fastest: speedClasses?.levels.at(-1) ?? 0,
       data_centres_evacuated: this.evacuations.dataCentres.size,
       board_age_milliseconds: Math.round(this.statusCache.ageMs),
       configuration_version: this.configurationFollower.current?.version ?? 0,
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -428,7 +428,9 @@
   }
 
   private publishChanges(): void {
-    const update = this.feedUpdates.takeDue(this.now, () => this.dispatcher.describeQueues());
+    const update = this.feedUpdates.takeDue(this.now, () =>
+      this.dispatcher.describeQueues(this.now),
+    );
     if (update !== undefined) {
       this.services.publish(update);
     }
@@ -436,7 +438,7 @@
 
   private publishSnapshot(): void {
     const { dispatcher, services } = this;
-    const queues = [...dispatcher.describeQueues()];
+    const queues = [...dispatcher.describeQueues(this.now)];
     services.publish({
       isWhole: true,
       states: [...dispatcher.state.jobs.values()].map((job) => [job.id, job.state]),
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -61,6 +61,7 @@
   reportOutdated: { code: 767, level: warn, text: 'report of an earlier incarnation ignored' },
   runnerQuarantined: { code: 764, level: warn, text: 'runner quarantined' },
   runnerLeasesExpired: { code: 765, level: warn, text: 'leases on an unresponsive runner expired' },
+  speedClassesChanged: { code: 770, level: info, text: 'classes of runner speeds changed' },
   evacuationsChanged: { code: 759, level: info, text: 'data centres to be evacuated changed' },
   orphanStopped: { code: 766, level: warn, text: 'unknown run stopped' },
 };
--- a/packages/testing/src/ReplaySimulation.ts
+++ b/packages/testing/src/ReplaySimulation.ts
@@ -40,8 +40,13 @@
   readonly slowEvery: number;
   /** Factor by which tasks take longer on a slow runner. */
   readonly slowFactor: number;
+  /** Factor by which tasks take longer on all other runners; 1 if absent. */
+  readonly normalFactor?: number;
   /** Relative jitter of the task durations within a step. */
   readonly unevenness: number;
+  /** Share of the tasks that take `stragglerFactor` times as long; 0 if absent. */
+  readonly stragglerShare?: number;
+  readonly stragglerFactor?: number;
 }
 
 interface SimulatedTask {
@@ -185,7 +190,7 @@
       for (let index = 0; index < runnersPerRack; index += 1) {
         const number = rack * runnersPerRack + index;
         const isSlow = variation.slowEvery > 0 && number % variation.slowEvery === 0;
-        const slowdown = isSlow ? variation.slowFactor : 1;
+        const slowdown = isSlow ? variation.slowFactor : (variation.normalFactor ?? 1);
         this.addRunner(`rack-${rack}`, `runner-${rack}-${index}`, slowdown);
       }
     }
@@ -350,7 +355,10 @@
       this.refusedStarts += 1;
       return StartOutcome.noCapacity;
     }
-    const fullMs = (this.durations.get(command.jobId) ?? 0) * runner.slowdown;
+    const { stragglerShare = 0, stragglerFactor = 1 } = this.variation;
+    const isStraggler = stragglerShare > 0 && this.random.fraction() < stragglerShare;
+    const extension = runner.slowdown * (isStraggler ? stragglerFactor : 1);
+    const fullMs = (this.durations.get(command.jobId) ?? 0) * extension;
     const taskMs = fullMs * this.random.jitter(1, this.variation.unevenness);
     const workDoneAt = this.now + Math.max(0, taskMs - Number(command.saved || 0));
     runner.tasks.set(`${command.task}#${command.run}`, {
