One sample for each runner and step, so that alike runners stay alike

Cause: the tasks of one step on one runner share their reference, so that their samples are not independent: with 252 alike runners and 3,000 task groups two classes (0.95 and 1.09) were found where there is one. Change: one sample for each runner and step; the prior variance counts as six samples, significance 6. RunnerSpeed, RemainingTime, LearnedState and unevenRunners tests pass.

--- a/packages/dispatch/src/SpeedClasses.ts
+++ b/packages/dispatch/src/SpeedClasses.ts
@@ -9,13 +9,12 @@
  */
 const priorDeviation = 0.2;
 /** Number of samples as which the prior deviation counts. */
-const priorSamples = 20;
+const priorSamples = 6;
 /**
  * Standard deviations by which the differences between runners must exceed those by chance. Runners
- * are judged again ten times a second, and samples of one step are not quite independent: with 5,
- * alike runners were divided for some seconds in four of six replays.
+ * are judged again ten times a second, so that an error of one in a thousand would show all the time.
  */
-const minSignificance = 8;
+const minSignificance = 6;
 /** Each class is split in two at most this many times: the requirements name up to three speeds. */
 const maxSplits = 2;
 const speedDecimals = 2;
--- a/packages/dispatch/src/StepDurations.ts
+++ b/packages/dispatch/src/StepDurations.ts
@@ -20,6 +20,9 @@
 export class StepDurations {
   private readonly entries: Entry[] = [];
 
+  /** Runners with a sample: tasks of one step on the same runner are not independent. */
+  private readonly sampled = new Set<RunnerSpeed>();
+
   /**
    * Adds the projected duration of a task. Earlier tasks are compared as soon as there are enough
    * others: fast runners are the first to report a representative progress.
@@ -33,12 +36,13 @@
       .filter(({ isCompared }) => !isCompared)
       .forEach((entry) => {
         const work = this.medianWorkElsewhere(entry.speed);
-        if (work === undefined) {
+        if (work === undefined || this.sampled.has(entry.speed)) {
           return;
         }
         entry.isCompared = true;
         const shown = work - entry.log;
         if (Math.abs(shown - entry.speed.log) <= maxDeviationLog) {
+          this.sampled.add(entry.speed);
           entry.speed.add(shown);
         }
       });
