--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -6,6 +6,7 @@
 import { resourcesOf } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import { maxLateFactor } from './Objective.js';
+import type { RemainingRun } from './RemainingTime.js';
 import { coresOf } from './Resources.js';
 
 /** Whether a waiting job can still meet its objective. */
@@ -44,7 +45,11 @@
 const minScoredWork = 100;
 
 /** Expected milliseconds of the longest remaining chain of steps. */
-export function remainingChainMs(job: JobRun, estimates: DurationEstimates, now: number): number {
+export function remainingChainMs(
+  job: JobRun,
+  estimates: DurationEstimates,
+  remainingRun: RemainingRun,
+): number {
   const { remainders } = job;
   const lengths: number[] = [];
   job.specification.steps.forEach((step, index) => {
@@ -52,9 +57,8 @@
     const remainder = remainders[index];
     lengths[index] = before;
     if (remainder !== undefined && remainder.tasks > 0) {
-      const expectedMs = estimates.estimate(job.queue.name, step);
-      const ranMs = remainder.hasIdle ? 0 : now - remainder.latestStart;
-      lengths[index] = before + Math.max(0, expectedMs - ranMs);
+      const idleMs = remainder.hasIdle ? estimates.estimate(job.queue.name, step) : 0;
+      lengths[index] = before + Math.max(idleMs, ...remainder.running.map(remainingRun));
     }
   });
   return Math.max(0, ...lengths);
@@ -101,10 +105,11 @@
   isGuaranteed: boolean,
   estimates: DurationEstimates,
   now: number,
+  remainingRun: RemainingRun,
 ): JobRank {
   const objective = objectiveMs(job, estimates);
   const waitedMs = now - job.arrivedAt;
-  const leftMs = remainingChainMs(job, estimates, now);
+  const leftMs = remainingChainMs(job, estimates, remainingRun);
   const work = remainingWork(job, estimates);
   const outlook = {
     value: (baseValue + work) * priorityValueRatio ** -job.queue.priority,
--- a/packages/dispatch/src/TaskGroup.ts
+++ b/packages/dispatch/src/TaskGroup.ts
@@ -60,8 +60,15 @@
   progressedAt: number;
   /** Whether its present standstill was reported as a fault of the runner. */
   isStallReported: boolean;
-  /** Whether the progress of this run has been recorded in the slowdown of its runner. */
-  isSlowdownRecorded: boolean;
+  /**
+   * Progress in percent when this run became known here: that of an earlier run may be resumed, or
+   * an earlier scheduling instance may have started it.
+   */
+  originPercent: number;
+  /** Monotonic time of `originPercent`; 0: the start of the run. */
+  originAt: number;
+  /** Whether the progress of this run has been recorded in the speed of its runner. */
+  isSpeedRecorded: boolean;
 }
 
 /** Tasks that start and end together: a whole gang, or a single task. */
@@ -191,6 +198,8 @@
     percent: 0,
     progressedAt: 0,
     isStallReported: false,
-    isSlowdownRecorded: false,
+    originPercent: 0,
+    originAt: 0,
+    isSpeedRecorded: false,
   };
 }
--- a/packages/testing/src/ReplaySimulation.ts
+++ b/packages/testing/src/ReplaySimulation.ts
@@ -51,10 +51,15 @@
   readonly slowEvery: number;
   /** Factor by which tasks take longer on a slow runner. */
   readonly slowFactor: number;
+  /** Factor by which tasks take longer on all other runners; 1 if absent. */
+  readonly normalFactor?: number;
   /** Relative jitter of the task durations within a step. */
   readonly unevenness: number;
   /** Speed of runner i is `speeds[i % length]`; absent: as `slowEvery` and `slowFactor` say. */
   readonly speeds?: readonly number[];
+  /** Share of the tasks that take `stragglerFactor` times as long; 0 if absent. */
+  readonly stragglerShare?: number;
+  readonly stragglerFactor?: number;
 }
 
 const tickMs = 20;
@@ -217,7 +222,7 @@
     const specification = this.specifications.get(id) as JobSpecification;
     const queue = this.dispatcher.state.queues.get(job.queue) as Queue;
     if (this.deployment.hasAdmission) {
-      const status = this.dispatcher.describeQueues().get(queue.name);
+      const status = this.dispatcher.describeQueues(this.now).get(queue.name);
       const admission = decideAdmission(specification, queue, status);
       if (!admission.isAccepted) {
         this.refuse(job, admission.retryAfterMs);
@@ -240,12 +245,12 @@
   }
 
   private slowdownOf(number: number): number {
-    const { speeds = [], slowEvery, slowFactor } = this.variation;
+    const { speeds = [], slowEvery, slowFactor, normalFactor = 1 } = this.variation;
     const speed = speeds[number % speeds.length];
     if (speed !== undefined) {
       return 1 / speed;
     }
-    return slowEvery > 0 && number % slowEvery === 0 ? slowFactor : 1;
+    return slowEvery > 0 && number % slowEvery === 0 ? slowFactor : normalFactor;
   }
 
   private addRunner(rack: string, id: string, slowdown: number): void {
@@ -311,8 +316,13 @@
       return StartOutcome.noCapacity;
     }
     const { durationMs = 0, taskFactors } = this.arrivals.get(command.jobId) ?? {};
+    const { stragglerShare = 0, stragglerFactor = 1 } = this.variation;
+    const isStraggler = stragglerShare > 0 && this.random.fraction() < stragglerShare;
     const fullMs = durationMs * (taskFactors?.[stepIndex as number]?.[taskIndex as number] ?? 1);
-    const jitteredMs = this.random.jitter(fullMs, this.variation.unevenness);
+    const jitteredMs = this.random.jitter(
+      fullMs * (isStraggler ? stragglerFactor : 1),
+      this.variation.unevenness,
+    );
     runner.start(command, step, jitteredMs, this.now);
     return StartOutcome.started;
   }
