--- a/packages/dispatch/src/PlacementSearch.ts
+++ b/packages/dispatch/src/PlacementSearch.ts
@@ -88,8 +88,9 @@
     return best;
   }
 
-  // Lower is better. A gang is as fast as its slowest member. Urgent work takes any placement that
-  // meets its objective, other work the slowest of these; if none does, the fastest is best.
+  // Lower is better. A gang is as fast as its slowest member. Of the placements on which work
+  // meets its objective, urgent work takes the fastest, since its duration is uncertain, and other
+  // work the slowest. If there is none, the fastest is best.
   private speedRank(group: TaskGroup, placement: Placement): number {
     if (!this.speedRequirement.isUneven) {
       return 0;
@@ -101,7 +102,7 @@
     if (slowest < this.speedRequirement.of(group)) {
       return tooSlowRank - slowest;
     }
-    return group.job.queue.priority === 0 ? 0 : slowest;
+    return group.job.queue.priority === 0 ? -slowest : slowest;
   }
 
   // Avoids runners on which the task group has failed if it fits elsewhere: its attempts are limited.
@@ -145,7 +146,8 @@
     const { levels } = this.speedRequirement;
     const adequate = levels.filter((level) => level >= required);
     const tooSlow = levels.filter((level) => level < required).reverse();
-    for (const level of adequate) {
+    const isUrgent = group.job.queue.priority === 0;
+    for (const level of isUrgent ? [...adequate].reverse() : adequate) {
       const alike = candidates.filter(({ capacity }) => capacity.runner.speed.value === level);
       const placement = assign(count, alike);
       if (placement !== undefined) {
