Maintenance waves: decision which machines to prepare and to take down

Cause: the operator's maintenance waves had no implementation; a machine taken down without preparation ends everything that runs there. Change: planMaintenance decides, free of I/O, on which runners nothing new starts, which runs to stop and which machines to call, within the limits of the waves, the guarantees and mayMiss of lasting steps. Nothing calls it yet.

--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -2,6 +2,7 @@
 import { Evacuations } from './Evacuations.js';
 import type { Account, Queue } from './Job.js';
 import type { JobRun } from './JobRun.js';
+import type { PreparedRunner } from './MaintenancePlan.js';
 import { RunCounters } from './RunCounters.js';
 import type { Runner } from './Runner.js';
 import type { SlowdownRecord } from './RunnerSlowdown.js';
@@ -133,6 +134,9 @@
   /** Data centres that the operator evacuates. */
   public readonly evacuations: Evacuations;
 
+  /** Runners whose machines are about to have their maintenance or have it, by id. */
+  public maintenance: ReadonlyMap<string, PreparedRunner> = new Map();
+
   /** Monotonic time at which the latest listing of the runners was requested. */
   public listingRequestedAt = -Infinity;
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -26,6 +26,7 @@
 import { RunnerChecks } from './RunnerChecks.js';
 import { RunnerCrashes } from './RunnerCrashes.js';
 import { RunnerListing } from './RunnerListing.js';
+import { RunnerMaintenance } from './RunnerMaintenance.js';
 import { StartOutcome } from './StartOutcome.js';
 import { recordStopResponse, TaskGroupLifecycle } from './TaskGroupLifecycle.js';
 
@@ -52,6 +53,8 @@
 export class Dispatcher {
   public readonly state: DispatchState;
 
+  public readonly maintenance: RunnerMaintenance;
+
   private readonly lifecycle: TaskGroupLifecycle;
 
   private readonly crashes: RunnerCrashes;
@@ -81,6 +84,7 @@
   ) {
     this.state = new DispatchState(bounds, log, policy, counters);
     this.lifecycle = new TaskGroupLifecycle(this.state);
+    this.maintenance = new RunnerMaintenance(this.state, this.lifecycle);
     this.crashes = new RunnerCrashes(this.state);
     this.reportHandler = new ReportHandler(this.state, this.lifecycle, this.crashes);
     this.runnerChecks = new RunnerChecks(this.state, this.lifecycle, this.reportHandler);
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -21,6 +21,11 @@
   readonly savesProgress: boolean;
   /** Runs until the job is cancelled; restarted after every end, also a successful one. */
   readonly isLasting: boolean;
+  /**
+   * Number of tasks of a lasting step that maintenance may leave missing at once; without it there is
+   * no bound.
+   */
+  readonly mayMiss?: number;
   /** Uses only processor time that other tasks leave idle; its processor share is not counted. */
   readonly usesLeftover: boolean;
 }
--- a/packages/dispatch/src/RunnerAvailability.ts
+++ b/packages/dispatch/src/RunnerAvailability.ts
@@ -10,6 +10,8 @@
   unfenced: 'unfenced',
   /** The operator evacuates its data centre, or may do so unknown to this instance. */
   evacuated: 'evacuated',
+  /** Its machine is about to have its maintenance, or has it. */
+  maintenance: 'maintenance',
   /** Its capacity may have shrunk since the listing, and it does not check it itself. */
   unknownCapacity: 'unknownCapacity',
   /** The registry entry is that of an earlier incarnation. */
@@ -43,6 +45,7 @@
     RunnerRestriction.evacuated,
     (state, { listed }, now) => state.evacuations.isClosed(listed.dataCentre, now),
   ],
+  [RunnerRestriction.maintenance, (state, { id }) => state.maintenance.has(id)],
   [
     RunnerRestriction.unknownCapacity,
     (state, runner, now) => !hasKnownCapacity(state, runner, now),
--- a/packages/dispatch/src/drainingRunners.ts
+++ b/packages/dispatch/src/drainingRunners.ts
@@ -38,7 +38,8 @@
   });
 }
 
-function remainingMs({ estimates }: DispatchState, group: TaskGroup, now: number): number {
+/** Milliseconds that a run is expected to take still. */
+export function remainingMs({ estimates }: DispatchState, group: TaskGroup, now: number): number {
   const expectedMs = estimates.estimate(group.job.queue.name, group.step);
   return Math.max(0, expectedMs - (now - group.startedAt));
 }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -22,6 +22,15 @@
 export { RunEnd } from './TaskGroupLifecycle.js';
 export { RunCounters } from './RunCounters.js';
 export type { EndedTask, RunnerReport, RunningTask } from './ReportHandler.js';
+export type {
+  MachineStatus,
+  MaintenanceCall,
+  MaintenanceView,
+  MaintenanceWave,
+  PendingCall,
+  PreparedRunner,
+} from './MaintenancePlan.js';
+export type { RunnerMaintenance } from './RunnerMaintenance.js';
 export { slowestClockRate } from './Runner.js';
 export type { ListedRunner, Runner } from './Runner.js';
 export type { JobRun } from './JobRun.js';
