Maintenance waves: one holder carries them out

Cause: the decision on maintenance had no caller, and a successor must know every call that may still be executed. Change: MaintenanceWaves follows the operator's waves, stores the machines to be called before each call and their results after it, and calls the machines through the interface MachineClient. Without a platform that provides one, or without a wave, nothing is called.

--- a/packages/dispatch/src/RunnerMaintenance.ts
+++ b/packages/dispatch/src/RunnerMaintenance.ts
@@ -25,6 +25,11 @@
     return calls;
   }
 
+  /** Ids of the runners that are kept free. */
+  public get prepared(): readonly string[] {
+    return [...this.state.maintenance.keys()];
+  }
+
   /** Keeps only these runners free; tasks may start on all others. */
   public restrictTo(runnerIds: readonly string[], now: number): void {
     const { maintenance } = this.state;
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -18,7 +18,11 @@
 import { JobStatusCache } from './JobStatusCache.js';
 import { LoadLimit } from './LoadLimit.js';
 import { JobService } from './JobService.js';
-import type { OperatorConfiguration } from './OperatorConfiguration.js';
+import type { MaintenancePlatform } from './MachineClient.js';
+import type { MaintenanceServices } from './MaintenanceServices.js';
+import { createMaintenanceServices } from './MaintenanceServices.js';
+import { idleMaintenanceStatus } from './MaintenanceWaves.js';
+import type { OperatorConfiguration, OperatorKeys } from './OperatorConfiguration.js';
 import type { RunnerClient } from './RunnerClient.js';
 import type { RunnerRegistry } from './Scheduling.js';
 import { Scheduling } from './Scheduling.js';
@@ -39,15 +43,6 @@
   readonly bounds: DispatchBounds;
 }
 
-/** Keys that the operator writes to the store. */
-export interface OperatorKeys {
-  /** Prefix of all of them. */
-  readonly prefix: string;
-  readonly configuration: string;
-  /** Prefix of the requests to evacuate a data centre; its name follows. */
-  readonly evacuations: string;
-}
-
 export interface InstanceServices {
   readonly store: CoordinationStore;
   readonly registry: RunnerRegistry;
@@ -59,6 +54,8 @@
   readonly random: Random;
   readonly log: EventLog;
   readonly operatorKeys: OperatorKeys;
+  /** Absent where the platform has no interface for the maintenance of machines. */
+  readonly maintenance?: MaintenancePlatform | undefined;
   readonly decodeConfiguration: (value: string) => Result<OperatorConfiguration, Error>;
 }
 
@@ -109,6 +106,8 @@
 
   private readonly evacuations: EvacuationRequests;
 
+  private readonly maintenance: MaintenanceServices | undefined;
+
   /** Unknown data centres whose evacuation was requested and logged. */
   private readonly unknownDataCentres = new Set<string>();
 
@@ -141,6 +140,9 @@
       ),
     );
     this.evacuations = new EvacuationRequests(services.operatorKeys.evacuations);
+    const { maintenance, operatorKeys, log } = services;
+    this.maintenance =
+      maintenance && createMaintenanceServices(maintenance, operatorKeys.waves, settings.name, log);
     this.feedServer = this.disposables.register(new FeedServer(this.statusCache, this.onError));
     this.feedClient = this.disposables.register(
       new FeedClient(this.statusCache, clock, settings.cores),
@@ -205,6 +207,7 @@
       followers: this.feedServer.followers,
       jobs_known: this.statusCache.size,
       data_centres_evacuated: this.evacuations.dataCentres.size,
+      ...(this.scheduling?.maintenance?.status ?? idleMaintenanceStatus),
       board_age_milliseconds: Math.round(this.statusCache.ageMs),
       configuration_version: this.configurationFollower.current?.version ?? 0,
       configuration_age_milliseconds: Math.round(this.configurationFollower.ageMs),
@@ -240,6 +243,7 @@
     });
     this.configurationFollower.onItems((items) => {
       this.evacuations.apply(items);
+      this.maintenance?.requests.apply(items);
       this.reportUnknownDataCentres();
     });
     this.configurationFollower.onUnreadable((message) =>
@@ -291,6 +295,7 @@
         bounds: this.settings.bounds,
         counters: this.counters,
         evacuations: this.evacuations,
+        maintenance: this.maintenance,
         token: () => this.election.token,
         resign: (reason) => this.election.resign(reason),
         transfer: (reason) => this.transferLeadership(reason),
--- /dev/null
+++ b/packages/instance/src/MaintenanceServices.ts
@@ -0,0 +1,27 @@
+import type { EventLog } from '@apricothoist/telemetry';
+
+import { JobEvents } from './events.js';
+import type { MaintenancePlatform } from './MachineClient.js';
+import { WaveRequests } from './WaveRequests.js';
+
+/** Dependencies of `MaintenanceWaves`, provided by the instance. */
+export interface MaintenanceServices {
+  readonly platform: MaintenancePlatform;
+  readonly requests: WaveRequests;
+  /** Prefix of the keys of the requests. */
+  readonly requestPrefix: string;
+  /** Name of this instance. */
+  readonly instance: string;
+}
+
+export function createMaintenanceServices(
+  platform: MaintenancePlatform,
+  requestPrefix: string,
+  instance: string,
+  log: EventLog,
+): MaintenanceServices {
+  const requests = new WaveRequests(requestPrefix, platform.decodeRequest, (wave, message) =>
+    log.emit(JobEvents.waveUnreadable, { wave, message }),
+  );
+  return { platform, requests, requestPrefix, instance };
+}
--- /dev/null
+++ b/packages/instance/src/MaintenanceWaves.test.ts
@@ -0,0 +1,263 @@
+import { DispatchFixture, VirtualCoordinationStore } from '@apricothoist/testing';
+import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
+import { install } from '@sinonjs/fake-timers';
+import test from 'ava';
+import { err, ok } from 'neverthrow';
+
+import type { CoordinationStore } from './CoordinationStore.js';
+import { CoordinationError } from './CoordinationStore.js';
+import { StoreKeys } from './keys.js';
+import type { MaintenanceOutcome } from './MachineClient.js';
+import { MaintenanceWaves } from './MaintenanceWaves.js';
+import { FakeMachines, maintenanceMs } from './testing/FakeMachines.js';
+import type { WaveRequest } from './WaveRequests.js';
+import { WaveRequests } from './WaveRequests.js';
+
+const all = ['m1', 'm2', 'm3', 'm4'];
+const stepMs = 50;
+
+/** Terms of holders that carry out waves on four idle machines, in virtual time. */
+class Waves implements Disposable {
+  private readonly timers = install({
+    now: 1_000_000,
+    toFake: ['setTimeout', 'clearTimeout', 'Date'],
+  });
+
+  public readonly machines = new FakeMachines(all);
+
+  public readonly store = new VirtualCoordinationStore();
+
+  public readonly requests = new WaveRequests(
+    'wave/',
+    (value) => ok(JSON.parse(value) as WaveRequest),
+    () => undefined,
+  );
+
+  public readonly errors: unknown[] = [];
+
+  /** Whether writes of the present holder are lost. */
+  public isStoreCut = false;
+
+  private term: MaintenanceWaves | undefined;
+
+  public constructor() {
+    this.takeOver();
+  }
+
+  /** Starts the next term; the former holder has ended. */
+  public takeOver(): void {
+    this.term?.[Symbol.dispose]();
+    this.isStoreCut = false;
+    const token = this.store.put(StoreKeys.holder, '{}');
+    const clock = { monotonic: () => Date.now(), wall: () => Date.now() };
+    const platform = {
+      machines: this.machines,
+      decodeRequest: () => err(new Error('not used')),
+      statusOf: (wave: string, isCompleted: boolean) => ({
+        key: `status/${wave}`,
+        value: isCompleted ? 'completed' : 'running',
+      }),
+      maintenanceMs,
+      callTimeoutMs: 1_000,
+      callsPerS: 60,
+    };
+    const store = Object.create(this.store) as CoordinationStore;
+    store.commit = async (transaction) =>
+      this.isStoreCut
+        ? err(new CoordinationError('unanswered', 'no response'))
+        : this.store.commit(transaction);
+    this.term = new MaintenanceWaves(
+      { platform, requests: this.requests, requestPrefix: 'wave/', instance: `i${token}` },
+      store,
+      new DispatchFixture([], undefined, []).dispatcher.maintenance,
+      clock,
+      new EventLog('test', LogLevel.error, LogFormat.text, clock),
+      token,
+      () => true,
+      (error) => this.errors.push(error),
+    );
+  }
+
+  /** Writes the request of a wave, or deletes it. */
+  public request(wave: string, change: Partial<WaveRequest> | undefined): void {
+    const key = `wave/${wave}`;
+    const content = { machines: all, durationMs: 60_000, maxCount: 1, ...change };
+    const value = JSON.stringify(content);
+    const revision = this.store.put(key, value);
+    const item = change === undefined ? { key, revision } : { key, revision, value };
+    this.requests.apply({ items: [item], revision, requestedAt: Date.now(), isComplete: false });
+  }
+
+  public async run(milliseconds: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < milliseconds; elapsedMs += stepMs) {
+      this.term?.step();
+      await this.timers.tickAsync(stepMs);
+    }
+  }
+
+  public async status(wave: string): Promise<string | undefined> {
+    const read = this.store.read(`status/${wave}`);
+    await this.timers.tickAsync(stepMs);
+    return (await read).unwrapOr(undefined)?.value;
+  }
+
+  public [Symbol.dispose](): void {
+    this.term?.[Symbol.dispose]();
+    this.timers.uninstall();
+  }
+}
+
+test.serial('a wave is completed within its limit; without a wave nothing is called', async (t) => {
+  using waves = new Waves();
+  await waves.run(3_000);
+  t.is(waves.machines.lists, 0);
+  waves.request('1', { maxCount: 2 });
+  await waves.run(1_000);
+  t.is(await waves.status('1'), 'running');
+  await waves.run(10_000);
+  t.is(await waves.status('1'), 'completed');
+  t.is(waves.machines.done.length, all.length);
+  t.is(waves.machines.maxDown, 2);
+  const { lists } = waves.machines;
+  await waves.run(3_000);
+  t.is(waves.machines.lists, lists);
+  t.deepEqual(waves.errors, []);
+});
+
+// A successor that knew only stored results took the next machine down beside the called one.
+test.serial('a holder dies between a call and its record', async (t) => {
+  using waves = new Waves();
+  waves.request('1', {});
+  waves.machines.lateMs = () => {
+    waves.isStoreCut = true;
+    return 700;
+  };
+  await waves.run(500);
+  t.is(waves.machines.calls.length, 1);
+  waves.takeOver();
+  waves.machines.lateMs = () => undefined;
+  await waves.run(20_000);
+  t.is(await waves.status('1'), 'completed');
+  t.is(waves.machines.maxDown, 1);
+  t.is(new Set(waves.machines.calls.map(({ token }) => token)).size, 2);
+});
+
+test.serial('a call without a response that is executed later counts as down', async (t) => {
+  using waves = new Waves();
+  waves.request('1', {});
+  let lost = 2;
+  waves.machines.lateMs = () => {
+    lost -= 1;
+    return lost >= 0 ? 2_500 : undefined;
+  };
+  await waves.run(25_000);
+  t.is(await waves.status('1'), 'completed');
+  t.is(waves.machines.maxDown, 1);
+  t.is(waves.machines.done.length, all.length);
+});
+
+(['refused', 'busy', 'unknownMachine', 'unknown'] as const).forEach((outcome) => {
+  test.serial(`calls that end as ${outcome} for 5 s are repeated later`, async (t) => {
+    using waves = new Waves();
+    waves.request('1', {});
+    waves.machines.answer = (): MaintenanceOutcome => outcome;
+    await waves.run(5_000);
+    t.is(waves.machines.done.length, 0);
+    t.true(waves.machines.calls.length <= 20, 'back-off');
+    waves.machines.answer = () => undefined;
+    await waves.run(20_000);
+    t.is(await waves.status('1'), 'completed');
+    t.is(waves.machines.maxDown, 1);
+  });
+});
+
+test.serial('an interface that is silent for 10 s delays the wave', async (t) => {
+  using waves = new Waves();
+  waves.request('1', {});
+  await waves.run(1_000);
+  waves.machines.isSilent = true;
+  await waves.run(10_000);
+  t.true(waves.machines.lists < 14, 'back-off');
+  waves.machines.isSilent = false;
+  await waves.run(20_000);
+  t.is(await waves.status('1'), 'completed');
+  t.is(waves.machines.maxDown, 1);
+});
+
+test.serial('nothing is called after the interface has seen a newer token', async (t) => {
+  using waves = new Waves();
+  waves.request('1', {});
+  waves.machines.answer = () => 'fenced';
+  await waves.run(5_000);
+  t.is(waves.machines.calls.length, 1);
+  t.is(waves.machines.lists, 1);
+  waves.machines.answer = () => undefined;
+  waves.takeOver();
+  await waves.run(20_000);
+  t.is(await waves.status('1'), 'completed');
+});
+
+test.serial('machines outside the wave, unknown or vanished do not hold it back', async (t) => {
+  using waves = new Waves();
+  waves.request('1', { machines: [...all, 'm9'] });
+  waves.machines.answer = (machine) => (machine === 'm1' ? 'notInWave' : undefined);
+  waves.machines.lateMs = (machine) => {
+    if (machine === 'm2') {
+      waves.machines.runners.delete(machine);
+      waves.machines.lateMs = () => undefined;
+      return 100;
+    }
+    return undefined;
+  };
+  await waves.run(20_000);
+  t.is(await waves.status('1'), 'completed');
+  t.deepEqual([...waves.machines.done].sort(), ['1 m3', '1 m4']);
+  t.is(waves.machines.calls.filter(({ machine }) => machine === 'm1').length, 1);
+  t.false(waves.machines.calls.some(({ machine }) => machine === 'm9'));
+});
+
+test.serial('a wave that the operator deletes or changes midway', async (t) => {
+  using waves = new Waves();
+  waves.request('1', { machines: ['m1', 'm2'] });
+  await waves.run(1_000);
+  waves.request('1', undefined);
+  const { length } = waves.machines.calls;
+  const { lists } = waves.machines;
+  await waves.run(5_000);
+  t.is(waves.machines.calls.length, length);
+  t.true(waves.machines.lists <= lists + 1);
+  waves.request('2', { machines: ['m3'] });
+  await waves.run(4_000);
+  t.is(await waves.status('2'), 'completed');
+  waves.request('2', { machines: ['m3', 'm4'] });
+  await waves.run(200);
+  t.is(await waves.status('2'), 'running');
+  await waves.run(5_000);
+  t.is(await waves.status('2'), 'completed');
+  t.is(waves.machines.done.filter((name) => name.startsWith('2')).length, 2);
+});
+
+test.serial('two waves at once that share a machine', async (t) => {
+  using waves = new Waves();
+  waves.request('1', { machines: ['m1', 'm2'] });
+  waves.request('2', { machines: ['m2', 'm3'] });
+  await waves.run(20_000);
+  t.is(await waves.status('1'), 'completed');
+  t.is(await waves.status('2'), 'completed');
+  t.is(waves.machines.done.length, 4);
+  const calls = waves.machines.calls.filter(({ machine }) => machine === 'm2');
+  t.true(Math.abs((calls[0]?.at ?? 0) - (calls[1]?.at ?? 0)) >= maintenanceMs);
+});
+
+test.serial('a successor in the middle of a wave finishes it within its limit', async (t) => {
+  using waves = new Waves();
+  waves.request('1', { maxCount: 2 });
+  for (let term = 0; term < 6; term += 1) {
+    await waves.run(700);
+    waves.takeOver();
+  }
+  await waves.run(10_000);
+  t.is(await waves.status('1'), 'completed');
+  t.is(waves.machines.maxDown, 2);
+  t.is(waves.machines.done.length, all.length);
+});
--- a/packages/instance/src/OperatorConfiguration.ts
+++ b/packages/instance/src/OperatorConfiguration.ts
@@ -20,3 +20,14 @@
   readonly unguardedServices?: ReadonlySet<string>;
   readonly maxBodyBytes: number;
 }
+
+/** Keys that the operator writes to the store. */
+export interface OperatorKeys {
+  /** Prefix of all of them. */
+  readonly prefix: string;
+  readonly configuration: string;
+  /** Prefix of the requests to evacuate a data centre; its name follows. */
+  readonly evacuations: string;
+  /** Prefix of the maintenance waves; the number of the wave follows. */
+  readonly waves: string;
+}
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -21,6 +21,8 @@
 import { DecisionEvents, JobEvents } from './events.js';
 import { LearnedStateStore } from './LearnedStateStore.js';
 import type { LoadLimit } from './LoadLimit.js';
+import type { MaintenanceServices } from './MaintenanceServices.js';
+import { MaintenanceWaves } from './MaintenanceWaves.js';
 import { StoredJobLoader } from './StoredJobLoader.js';
 import { StoreKeys } from './keys.js';
 import { StoredStateReader } from './StoredStateReader.js';
@@ -73,6 +75,8 @@
   readonly counters: RunCounters;
   /** Requests of the operator to evacuate data centres. */
   readonly evacuations: EvacuationRequests;
+  /** Absent where the platform has no interface for the maintenance of machines. */
+  readonly maintenance?: MaintenanceServices | undefined;
   /** Fencing token while the lease is valid, undefined otherwise. */
   readonly token: () => number | undefined;
   readonly resign: (reason: string) => void;
@@ -134,6 +138,8 @@
 
   private readonly learnedState: LearnedStateStore;
 
+  public readonly maintenance: MaintenanceWaves | undefined;
+
   private isListingRunners = false;
 
   private isRemovingJobs = false;
@@ -184,6 +190,18 @@
       services.strongestCores,
       ({ kind, message }) => log.emit(JobEvents.learnedStateNotStored, { kind, message }),
     );
+    this.maintenance =
+      services.maintenance &&
+      new MaintenanceWaves(
+        services.maintenance,
+        store,
+        this.dispatcher.maintenance,
+        clock,
+        log,
+        termToken,
+        () => this.token !== undefined,
+        (error) => this.logError(error),
+      );
     this.writer = new ProgressWriter(
       store,
       clock,
@@ -381,6 +399,7 @@
     this.listRunnersIfDue();
     const { clock, steadyClock, evacuations } = this.services;
     this.dispatcher.evacuate(evacuations.dataCentres, evacuations.confirmedAt);
+    this.maintenance?.step();
     const commands = this.dispatcher.step(this.now, clock.wall(), steadyClock.monotonic());
     commands.stops.forEach((command) => this.commandSender.stop(command));
     this.progress.add({
@@ -511,6 +530,7 @@
     this.isStopped = true;
     clearTimeout(this.loadTimer);
     this.watch[Symbol.dispose]();
+    this.maintenance?.[Symbol.dispose]();
     this.progress[Symbol.dispose]();
     this.links.forEach((link) => link[Symbol.dispose]());
     this.links.clear();
--- a/packages/instance/src/StoredJob.ts
+++ b/packages/instance/src/StoredJob.ts
@@ -7,7 +7,13 @@
   readonly queue: Queue;
 }
 
-type StoredRecord = StoredJob | ProgressRecord | HolderRecord | LearnedState | StrongestCoresRecord;
+type StoredRecord =
+  | StoredJob
+  | ProgressRecord
+  | HolderRecord
+  | LearnedState
+  | StrongestCoresRecord
+  | MaintenanceRecord;
 
 /** Parses a stored record; returns undefined if it is malformed. */
 export function parseRecord<T extends StoredRecord>(value: string | undefined): T | undefined {
@@ -26,6 +32,21 @@
   readonly feedAddress: string;
 }
 
+/** Record of the holder on a maintenance wave. */
+export interface MaintenanceRecord {
+  /** Store revision of the operator's request that the record is about. */
+  readonly revision: number;
+  /** Wall time in milliseconds by which every machine is to have had its maintenance. */
+  readonly deadline: number;
+  /** Machines that were called or are about to be, without a stored result, with their runners. */
+  readonly called: readonly (readonly [machine: string, runnerId: string])[];
+  /** Machines whose maintenance has begun. */
+  readonly begun: readonly string[];
+  /** Machines that are not part of the wave. */
+  readonly refused: readonly string[];
+  readonly isCompleted: boolean;
+}
+
 /** Record of the processing capacity of the strongest instance. */
 export interface StrongestCoresRecord {
   readonly cores: number;
--- a/packages/instance/src/electionAfterRestart.test.ts
+++ b/packages/instance/src/electionAfterRestart.test.ts
@@ -84,6 +84,7 @@
         prefix: 'operator/',
         configuration: 'operator/configuration',
         evacuations: 'operator/evacuate/',
+        waves: 'wave/',
       },
       decodeConfiguration: () => err(new Error('no configuration')),
     });
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -38,6 +38,16 @@
     level: warn,
     text: 'request of the operator names nothing known',
   },
+  waveStarted: { code: 770, level: info, text: 'maintenance wave taken up' },
+  waveCompleted: { code: 771, level: info, text: 'maintenance wave completed' },
+  maintenanceBegun: { code: 772, level: info, text: 'maintenance of a machine begun' },
+  machinesUnknown: { code: 773, level: warn, text: 'machines of a wave do not exist' },
+  maintenanceSuspended: { code: 774, level: warn, text: 'maintenance waves suspended' },
+  maintenanceResumed: { code: 775, level: info, text: 'maintenance waves resumed' },
+  maintenanceFenced: { code: 776, level: warn, text: 'machine called with a newer token' },
+  machineGivenUp: { code: 777, level: warn, text: 'machine is not part of its wave' },
+  waveUnreadable: { code: 778, level: error, text: 'maintenance wave unreadable' },
+  waveLate: { code: 779, level: warn, text: 'maintenance wave not completed in time' },
   unexpectedError: { code: 790, level: error, text: 'unexpected error' },
 } as const satisfies Record<string, EventKind>;
 
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -1,6 +1,6 @@
 /** Job instance: job submission and state, leader election, recovery, and calls to runners. */
 export { JobInstance } from './JobInstance.js';
-export type { InstanceServices, InstanceSettings, OperatorKeys } from './JobInstance.js';
+export type { InstanceServices, InstanceSettings } from './JobInstance.js';
 export { absentRevision, CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
 export type {
   CommitResult,
@@ -10,10 +10,13 @@
   StoredPage,
   Transaction,
 } from './CoordinationStore.js';
+export { MachineError, MaintenanceOutcome } from './MachineClient.js';
+export type { MachineCaller, MachineClient, MaintenancePlatform } from './MachineClient.js';
+export type { WaveRequest } from './WaveRequests.js';
 export { RunnerError, RunnerErrorKind } from './RunnerClient.js';
 export type { ReportRequest, RunnerClient } from './RunnerClient.js';
 export type { RunnerRegistry } from './Scheduling.js';
-export type { OperatorConfiguration, Route } from './OperatorConfiguration.js';
+export type { OperatorConfiguration, OperatorKeys, Route } from './OperatorConfiguration.js';
 export { Lookup, SubmitOutcome } from './JobService.js';
 export type { StateResult, SubmitResult } from './JobService.js';
 export { JobEvents } from './events.js';
--- a/packages/instance/src/keys.ts
+++ b/packages/instance/src/keys.ts
@@ -9,6 +9,8 @@
   learnedState: 'experience',
   /** Cores of the strongest instance, for the first election after a restart of all instances. */
   strongestCores: 'strongest',
+  /** Record of the holder on a maintenance wave. */
+  maintenance: (wave: string): string => `maintenance/${wave}`,
   jobPrefix,
   progressPrefix,
   job: (id: string): string => `${jobPrefix}${id}`,
--- a/packages/instance/src/leadershipTransfer.test.ts
+++ b/packages/instance/src/leadershipTransfer.test.ts
@@ -80,6 +80,7 @@
           prefix: 'operator/',
           configuration: 'operator/configuration',
           evacuations: 'operator/evacuate/',
+          waves: 'wave/',
         },
         decodeConfiguration: () => err(new Error('no configuration')),
       },
--- a/packages/instance/src/leaseInDoubt.test.ts
+++ b/packages/instance/src/leaseInDoubt.test.ts
@@ -74,6 +74,7 @@
         prefix: 'operator/',
         configuration: 'operator/configuration',
         evacuations: 'operator/evacuate/',
+        waves: 'wave/',
       },
       decodeConfiguration: () => err(new Error('no configuration')),
     });
