Maintenance waves: rates below seven calls per second, runners without a successor id

Cause: a round makes one call at least, so that a low rate was exceeded; a former runner counted as departed for good when its machine was listed up before a new id.

--- a/packages/instance/src/MaintenanceWaves.ts
+++ b/packages/instance/src/MaintenanceWaves.ts
@@ -127,12 +127,21 @@
     return this.clock.monotonic();
   }
 
+  private get callsPerMs(): number {
+    return (this.platform.callsPerS * rateShare) / msPerSecond;
+  }
+
+  /** Milliseconds between two rounds; each round makes one call at least. */
+  private get intervalMs(): number {
+    return Math.max(roundIntervalMs, 1 / this.callsPerMs);
+  }
+
   private get mayCall(): boolean {
     return !this.isOver && !this.waves.isSuperseded && this.isHolder();
   }
 
   private async runRound(): Promise<void> {
-    this.nextRoundAt = this.now + roundIntervalMs;
+    this.nextRoundAt = this.now + this.intervalMs;
     this.hasRoundFailed = false;
     if (!(await this.waves.update()) || !(await this.waves.write())) {
       this.backOff(storeFailure);
@@ -180,7 +189,8 @@
       const isBack = machine === undefined || machine.isUp;
       if (isBack && requestedAt >= answeredAt + maintenanceMs) {
         this.awaited.delete(name);
-        if (runnerId !== undefined && machine?.runnerId !== runnerId) {
+        const present = machine?.runnerId;
+        if (runnerId !== undefined && present !== undefined && present !== runnerId) {
           this.departed.add(runnerId);
         }
       }
@@ -196,7 +206,6 @@
     const pending = new Map<string, PendingCall>(this.awaited);
     this.waves.pendingCalls.forEach(([machine, call]) => pending.set(machine, call));
     const wallOffsetMs = this.clock.wall() - this.now;
-    const callsPerMs = (this.platform.callsPerS * rateShare) / msPerSecond;
     return {
       waves: this.waves.describe(wallOffsetMs),
       machines,
@@ -204,7 +213,7 @@
       retryAt: this.retryAt,
       departed: this.departed,
       maintenanceMs: this.platform.maintenanceMs,
-      maxCalls: Math.max(1, Math.floor(callsPerMs * roundIntervalMs)),
+      maxCalls: Math.max(1, Math.floor(this.callsPerMs * this.intervalMs)),
     };
   }
 
