--- a/packages/instance/src/MachineClient.ts
+++ b/packages/instance/src/MachineClient.ts
@@ -61,6 +61,8 @@
   readonly maintenanceMs: number;
   /** Milliseconds after which a call without a response counts as unanswered. */
   readonly callTimeoutMs: number;
+  /** Least time in milliseconds between calls of two holders for one machine. */
+  readonly holderTurnMs: number;
   /** Calls per second that all instances together may make. */
   readonly callsPerS: number;
 }
--- a/packages/instance/src/MaintenanceWaves.test.ts
+++ b/packages/instance/src/MaintenanceWaves.test.ts
@@ -60,6 +60,7 @@
       }),
       maintenanceMs,
       callTimeoutMs: 1_000,
+      holderTurnMs: 0,
       callsPerS: 60,
     };
     const store = Object.create(this.store) as CoordinationStore;
--- a/packages/instance/src/MaintenanceWaves.ts
+++ b/packages/instance/src/MaintenanceWaves.ts
@@ -65,6 +65,9 @@
 
   private readonly waves: WaveSet;
 
+  /** Monotonic time from which this holder may call, after one that may have called before it. */
+  private readonly callsFrom: number;
+
   private isBusy = false;
 
   /** Whether nothing may be called any more in this term. */
@@ -93,6 +96,7 @@
     private readonly onError: (error: unknown) => void,
   ) {
     const { platform, requests, requestPrefix } = services;
+    this.callsFrom = clock.monotonic() + platform.holderTurnMs;
     const waveStore = new WaveStore(store, clock, token, platform, requestPrefix);
     this.waves = new WaveSet(requests, waveStore, clock, log);
   }
@@ -213,7 +217,7 @@
       retryAt: this.retryAt,
       departed: this.departed,
       maintenanceMs: this.platform.maintenanceMs,
-      maxCalls: Math.max(1, Math.floor(this.callsPerMs * this.intervalMs)),
+      maxCalls: this.now < this.callsFrom ? 0 : Math.max(1, Math.floor(this.callsPerMs * this.intervalMs)),
     };
   }
 
--- a/packages/instance/src/maintenanceLoad.test.ts
+++ b/packages/instance/src/maintenanceLoad.test.ts
@@ -26,6 +26,7 @@
     }),
     maintenanceMs,
     callTimeoutMs: 1_000,
+      holderTurnMs: 0,
     callsPerS: 60,
   };
   const maintenance = { platform, requests, requestPrefix: 'wave/', instance: 'i' };
