Starts in queues with advice need a permit of a valid answer

Cause: a queue of the configuration may have advice: then only some runners may run a step, and a start without a valid ticket is refused.

Change: Permits holds what the service has said about each incarnation of a runner, by step; AdviceSearch chooses the next question. isEligible, and with it placements, reservations, victims and room, needs a permit that is valid in the round; a start whose permit would lapse on the way is not sent; a refused permit is dropped and is no fault of the runner (StartOutcome.permitRefused in place of invalid, which it was mapped to before). Nothing is preempted before runners are known. The expected time of asking counts in the rank and in admission. AdviceLoop makes the calls for the holder, HttpAdviceClient over HTTP. Queues without advice take none of these paths.

--- a/packages/dispatch/src/Admission.ts
+++ b/packages/dispatch/src/Admission.ts
@@ -3,6 +3,7 @@
 import type { JobSpecification, Queue } from './Job.js';
 import { isFinal } from './Job.js';
 import type { JobRun } from './JobRun.js';
+import { expectedAskMs } from './Permits.js';
 import type { Runner } from './Runner.js';
 
 /** Status of a queue, from which admission estimates the wait of a new job. */
@@ -63,9 +64,12 @@
   if (status.durationMs === 0 || specification.firstDueAt > 0) {
     return { isAccepted: true };
   }
+  const maxTasks = Math.max(...specification.steps.map(({ count }) => count));
+  const askMs = expectedAskMs(queue.advice, maxTasks);
   const chainMs = chainLength(specification) * status.durationMs;
   const limitMs = maxLateFactor * (queue.stretch * chainMs + queue.targetMs);
-  const excessMs = status.backlogMs + chainMs - limitMs;
+  const waitMs = status.backlogMs + chainLength(specification) * askMs;
+  const excessMs = waitMs + chainMs - limitMs;
   if (excessMs <= 0) {
     return { isAccepted: true };
   }
--- a/packages/dispatch/src/CapacityLedger.ts
+++ b/packages/dispatch/src/CapacityLedger.ts
@@ -75,8 +75,19 @@
   }
 }
 
-/** Whether the task group may run on this runner, regardless of free capacity. */
+/**
+ * Whether the task group may run on this runner, regardless of free capacity. A queue with advice
+ * needs a permit that is valid in this scheduling round.
+ */
 export function isEligible(group: TaskGroup, runner: Runner): boolean {
+  return (
+    (group.job.queue.advice === undefined || group.permits?.has(runner.id) === true) &&
+    isEligibleByRequirements(group, runner)
+  );
+}
+
+/** Whether the runner has what the step requires, permits aside. */
+export function isEligibleByRequirements(group: TaskGroup, runner: Runner): boolean {
   const { listed } = runner;
   const { requiredLabel } = group.step;
   return (
--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -3,6 +3,7 @@
 import type { DurationEstimates } from './DurationEstimates.js';
 import { resourcesOf } from './Job.js';
 import type { JobRun } from './JobRun.js';
+import { expectedAskMs } from './Permits.js';
 import { coresOf } from './Resources.js';
 
 /** Multiple of the objective up to which a late job still has value for its client. */
@@ -40,7 +41,7 @@
 /** Core-seconds below which less work does not raise the score any further. */
 const minScoredWork = 100;
 
-/** Expected milliseconds of the longest remaining chain of steps. */
+/** Expected milliseconds of the longest remaining chain of steps, the wait for permits included. */
 export function remainingChainMs(job: JobRun, estimates: DurationEstimates, now: number): number {
   const { remainders } = job;
   const lengths: number[] = [];
@@ -51,12 +52,25 @@
     if (remainder !== undefined && remainder.tasks > 0) {
       const expectedMs = estimates.estimate(job.queue.name, step);
       const ranMs = remainder.hasIdle ? 0 : now - remainder.latestStart;
-      lengths[index] = before + Math.max(0, expectedMs - ranMs);
+      const askMs = remainder.hasIdle ? remainingAskMs(job, index) : 0;
+      lengths[index] = before + askMs + Math.max(0, expectedMs - ranMs);
     }
   });
   return Math.max(0, ...lengths);
 }
 
+// Expected time until the advice service has named runners for a step.
+function remainingAskMs(job: JobRun, stepIndex: number): number {
+  const { advice } = job.queue;
+  if (advice === undefined) {
+    return 0;
+  }
+  const hasPermits = [...job.permits].some(
+    ([step, permits]) => permits.size > 0 && step.endsWith(`.${stepIndex}`),
+  );
+  return hasPermits ? 0 : expectedAskMs(advice, job.specification.steps[stepIndex]?.count ?? 0);
+}
+
 /** Monotonic time by which the job meets its objective. */
 export function objectiveEndsAt(job: JobRun, estimates: DurationEstimates): number {
   return job.arrivedAt + objectiveMs(job, estimates);
--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -7,6 +7,7 @@
 import { countFitting } from './Resources.js';
 import type { Placement } from './CapacityLedger.js';
 import { countFittingMembers, isEligible, CapacityLedger } from './CapacityLedger.js';
+import { awaitsAdvice, mayBecomeEligible, updatePermits } from './permittedRunners.js';
 import type { Runner } from './Runner.js';
 import { isUsable } from './RunnerAvailability.js';
 import type { TaskGroupLifecycle } from './TaskGroupLifecycle.js';
@@ -88,6 +89,7 @@
       (sum, { listed }) => sum + listed.capacity.accelerators,
       0,
     );
+    updatePermits(state, now);
     this.startReserved();
     const openRunners = this.usableRunners.filter(({ closedUntil }) => closedUntil <= now);
     const closedCount = this.usableRunners.length - openRunners.length;
@@ -165,7 +167,7 @@
     }
     const mayReclaim =
       rank.isUrgent && (rank.isGuaranteed || rank.objectiveStatus !== ObjectiveStatus.expired);
-    return mayReclaim && this.reclaim(group, rank);
+    return mayReclaim && !this.awaitsAdvice(group) && this.reclaim(group, rank);
   }
 
   // Keeps the runners of a suspect to itself for a while, where it is alone and not too many are.
@@ -236,6 +238,12 @@
     return true;
   }
 
+  private awaitsAdvice(group: TaskGroup): boolean {
+    const { isGang, prefersOneRack } = group.step;
+    const isInOneRack = isGang && prefersOneRack && this.couldFitPreferredRack(group);
+    return awaitsAdvice(this.state, this.ledger, group, isInOneRack);
+  }
+
   private stopVictim(victim: TaskGroup): void {
     const preempted = victim.size.accelerators * victim.members.length;
     this.state.urgentHeadroom.recordPreemption(preempted, this.now);
@@ -281,7 +289,9 @@
     }
     return candidates.some((capacities) => {
       const fitting = capacities
-        .filter(({ runner }) => isEligible(group, runner))
+        .filter(
+          ({ runner }) => isEligible(group, runner) || mayBecomeEligible(this.state, group, runner),
+        )
         .reduce((sum, { runner }) => sum + countFitting(group.size, runner.listed.capacity), 0);
       return fitting >= group.members.length;
     });
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -2,6 +2,7 @@
 import { Evacuations } from './Evacuations.js';
 import type { Account, Queue } from './Job.js';
 import type { JobRun } from './JobRun.js';
+import { Permits } from './Permits.js';
 import { RunCounters } from './RunCounters.js';
 import type { Runner } from './Runner.js';
 import type { SlowdownRecord } from './RunnerSlowdown.js';
@@ -20,6 +21,10 @@
   readonly payload: string;
   /** Saved progress to resume from; empty if there is none. */
   readonly saved: string;
+  /** Permit of the advice service, in queues with advice. */
+  readonly permit?: string;
+  /** Monotonic time until which a start with the permit may be sent. */
+  readonly permitSendBy?: number;
 }
 
 /** Command to stop one run of a task. */
@@ -58,7 +63,8 @@
   | 'runnerQuarantined'
   | 'evacuationsChanged'
   | 'runnerLeasesExpired'
-  | 'orphanStopped';
+  | 'orphanStopped'
+  | 'permitRefused';
 
 /** Bounds of the platform's contract; times in milliseconds. */
 export interface DispatchBounds {
@@ -133,6 +139,12 @@
   /** Data centres that the operator evacuates. */
   public readonly evacuations: Evacuations;
 
+  /** What the advice service has said about runners. */
+  public readonly permits = new Permits();
+
+  /** Whether a queue or an open job needs the advice service. */
+  public usesAdvice = false;
+
   /** Monotonic time at which the latest listing of the runners was requested. */
   public listingRequestedAt = -Infinity;
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,5 +1,6 @@
 import type { QueueStatus } from './Admission.js';
 import { describeQueues } from './Admission.js';
+import { AdviceExchange } from './AdviceExchange.js';
 import { DispatchRound } from './DispatchRound.js';
 import type {
   DecisionLog,
@@ -52,6 +53,8 @@
 export class Dispatcher {
   public readonly state: DispatchState;
 
+  public readonly advice: AdviceExchange;
+
   private readonly lifecycle: TaskGroupLifecycle;
 
   private readonly crashes: RunnerCrashes;
@@ -80,6 +83,9 @@
     counters?: RunCounters,
   ) {
     this.state = new DispatchState(bounds, log, policy, counters);
+    this.advice = new AdviceExchange(this.state, () => {
+      this.isRoundDue = true;
+    });
     this.lifecycle = new TaskGroupLifecycle(this.state);
     this.crashes = new RunnerCrashes(this.state);
     this.reportHandler = new ReportHandler(this.state, this.lifecycle, this.crashes);
@@ -100,6 +106,7 @@
     this.state.jobs.forEach((job) => {
       job.queue = queues.get(job.specification.queue) ?? job.queue;
     });
+    this.advice.updateUse();
   }
 
   /**
@@ -121,6 +128,7 @@
     const job = new JobRun(specification, queue, arrivedAt);
     this.state.jobs.set(job.id, job);
     this.state.openJobs.add(job);
+    this.state.usesAdvice ||= queue.advice !== undefined;
     this.isRoundDue = true;
     if (stored !== undefined) {
       job.storedVersion = stored.version;
@@ -228,7 +236,8 @@
       runner?.listed.processStartedAt === processStartedAt &&
       sendRestriction(this.state, runner, now) === undefined &&
       member !== undefined &&
-      !member.isStopRequested
+      !member.isStopRequested &&
+      this.advice.isPermitted(command, now)
     );
   }
 
@@ -353,6 +362,7 @@
         .map(({ id }) => id);
       this.nextRemovalAt = this.expiredJobIds.length > 0 ? now + removalIntervalMs : now;
     }
+    this.advice.forgetEndedJobs();
     this.runnerChecks.forgetStops(now - retentionMs);
   }
 }
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -50,6 +50,17 @@
   readonly acceptedAt: number;
 }
 
+/**
+ * Times of the service that says which runners may run the steps of a queue, in milliseconds. It
+ * answers `decisionMs` after the call plus `periodMs` for each runner named in it.
+ */
+export interface Advice {
+  readonly decisionMs: number;
+  readonly periodMs: number;
+  /** Time for which an answer is valid. */
+  readonly validityMs: number;
+}
+
 /** A queue of the operator configuration. */
 export interface Queue {
   readonly name: string;
@@ -61,6 +72,8 @@
   /** The objective is this multiple of the longest chain of steps, plus `targetMs`. */
   readonly stretch: number;
   readonly targetMs: number;
+  /** Set where tasks start only on runners for which an advice service gives a permit. */
+  readonly advice?: Advice;
 }
 
 /** A client account and the accelerators that it is guaranteed for jobs of priority 0. */
--- a/packages/dispatch/src/JobRun.ts
+++ b/packages/dispatch/src/JobRun.ts
@@ -1,5 +1,6 @@
 import type { JobSpecification, Queue } from './Job.js';
 import { isFinal, JobState } from './Job.js';
+import type { Permit } from './Permits.js';
 import { StepDurations } from './RunnerSlowdown.js';
 import { createMember, TaskGroup, TaskGroupPhase } from './TaskGroup.js';
 
@@ -37,6 +38,12 @@
   /** Monotonic end time; 0 until the job has ended. */
   public endedAt = 0;
 
+  /**
+   * Permits that are valid in this scheduling round, by step and runner id; empty unless the queue
+   * has advice.
+   */
+  public permits: ReadonlyMap<string, ReadonlyMap<string, Permit>> = new Map();
+
   /** Number of phase changes of task groups, to invalidate the summary. */
   private phaseChanges = 0;
 
--- a/packages/dispatch/src/RunCounters.ts
+++ b/packages/dispatch/src/RunCounters.ts
@@ -21,4 +21,16 @@
 
   /** Start commands with a call that got no answer. */
   public unsettledStarts = 0;
+
+  /** Calls of the advice service. */
+  public adviceCalls = 0;
+
+  /** Calls of the advice service without a usable answer. */
+  public failedAdviceCalls = 0;
+
+  /** Starts that a runner refused for their permit. */
+  public refusedPermits = 0;
+
+  /** Starts that were not sent because their permit would have lapsed on the way. */
+  public lapsedPermits = 0;
 }
--- a/packages/dispatch/src/StartOutcome.ts
+++ b/packages/dispatch/src/StartOutcome.ts
@@ -15,6 +15,8 @@
   restarted: 'restarted',
   /** The runner rejected the command as invalid. */
   invalid: 'invalid',
+  /** The runner did not accept the permit; the task was not started. */
+  permitRefused: 'permitRefused',
   /** No conclusive response; the runner may still execute the command. */
   unknown: 'unknown',
   /** The command was not sent, because the lease of this instance was in doubt. */
--- a/packages/dispatch/src/TaskGroup.ts
+++ b/packages/dispatch/src/TaskGroup.ts
@@ -4,6 +4,8 @@
 import type { JobRun } from './JobRun.js';
 import type { Step } from './Job.js';
 import { resourcesOf } from './Job.js';
+import type { Permit } from './Permits.js';
+import { stepKey } from './Permits.js';
 import type { Resources } from './Resources.js';
 import { coresOf } from './Resources.js';
 import { RunHistory } from './RunHistory.js';
@@ -122,6 +124,11 @@
     this.size = resourcesOf(this.step);
   }
 
+  /** Permits by runner id that are valid in this scheduling round. */
+  public get permits(): ReadonlyMap<string, Permit> | undefined {
+    return this.job.permits.get(stepKey(this));
+  }
+
   public get phase(): TaskGroupPhase {
     return this.currentPhase;
   }
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -1,4 +1,4 @@
-import type { DispatchState } from './DispatchState.js';
+import type { DispatchState, StartCommand } from './DispatchState.js';
 import { EndEvidence } from './EndEvidence.js';
 import { JobState } from './Job.js';
 import type { JobRun } from './JobRun.js';
@@ -6,6 +6,8 @@
 import type { Occupant, Runner } from './Runner.js';
 import { occupantKey } from './Runner.js';
 import { RunHistory } from './RunHistory.js';
+import type { Permit } from './Permits.js';
+import { stepKey } from './Permits.js';
 import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
 import { StartOutcome } from './StartOutcome.js';
 import type { Member, TaskGroup } from './TaskGroup.js';
@@ -65,6 +67,7 @@
       Array.from({ length: count }, () => runnerId),
     );
     group.members.forEach(({ crashes }) => crashes.recordStart());
+    const { permits } = group;
     group.members.forEach((member, position) => {
       const runner = this.state.runners.get(runnerIds[position] as string) as Runner;
       placeMember(group, member, runner, RunHistory.forStart());
@@ -76,6 +79,7 @@
         run: group.run,
         payload: group.job.specification.payload,
         saved: group.saved,
+        ...commandPermit(permits?.get(runner.id)),
       });
     });
     group.job.isDirty = true;
@@ -120,6 +124,9 @@
     if (fault !== undefined) {
       reportRunnerFault(this.state, runner, fault, now);
     }
+    if (outcome === StartOutcome.permitRefused) {
+      this.refusePermit(group, runner);
+    }
     const isUnanswered = outcome === StartOutcome.unknown;
     runner.isReportDue ||= outcome === StartOutcome.leaseExpired;
     group.retryAt = now + (isUnanswered ? unansweredRetryMs : refusedRetryMs);
@@ -280,6 +287,19 @@
     this.stopJob(job, reason, now);
   }
 
+  private refusePermit(group: TaskGroup, runner: Runner): void {
+    const step = stepKey(group);
+    const refusals = this.state.permits.recordRefusal(step, runner);
+    this.state.counters.refusedPermits += 1;
+    this.state.log.decide('permitRefused', {
+      job: group.job.id,
+      step,
+      runner: runner.id,
+      startedAt: runner.listed.processStartedAt,
+      refusals,
+    });
+  }
+
   // A run that fails right after its start indicates a fault of the runner rather than of the job.
   private classifyFailure(group: TaskGroup, now: number): RunnerFault {
     const expectedMs = this.state.estimates.estimate(group.job.queue.name, group.step);
@@ -419,6 +439,10 @@
   }
 }
 
+function commandPermit(permit: Permit | undefined): Partial<StartCommand> {
+  return permit === undefined ? {} : { permit: permit.ticket, permitSendBy: permit.sendBy };
+}
+
 /** Assigns a member to a runner, for a start command or from stored progress. */
 export function placeMember(
   group: TaskGroup,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,6 +1,8 @@
 /** Job scheduling on runners, free of I/O: order, placement, reclaim, retries, recovery. */
 export { isFinal, JobState } from './Job.js';
-export type { Account, JobSpecification, Queue, Step } from './Job.js';
+export type { Account, Advice, JobSpecification, Queue, Step } from './Job.js';
+export type { AdviceExchange, PermitSummary } from './AdviceExchange.js';
+export type { AdviceAnswer, AdviceQuestion, NamedRunner } from './Permits.js';
 export type { Resources } from './Resources.js';
 export { decideAdmission } from './Admission.js';
 export type { Admission, QueueStatus } from './Admission.js';
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -6,6 +6,8 @@
 import type { Result } from 'neverthrow';
 
 import type { JobUpdate } from './FeedUpdateBuffer.js';
+import type { AdviceClient } from './AdviceClient.js';
+import { adviceMetrics } from './adviceMetrics.js';
 import { EvacuationRequests } from './EvacuationRequests.js';
 import { electionDelayMs, LeadershipTransferPolicy } from './ElectionDelay.js';
 import { ConfigurationFollower } from './ConfigurationFollower.js';
@@ -52,6 +54,8 @@
   readonly store: CoordinationStore;
   readonly registry: RunnerRegistry;
   readonly runners: RunnerClient;
+  /** Undefined if the settings name no advice service. */
+  readonly advice?: AdviceClient;
   /** Monotonic clock that includes suspensions, so that it may run ahead. */
   readonly clock: Clock;
   /** Monotonic clock that never runs ahead. */
@@ -186,6 +190,7 @@
     const { ends, overlaps, unsettledStarts, crashes, crashingJobs } = this.counters;
     const loadCost = this.scheduling?.loadCost;
     const progress = this.scheduling?.progress;
+    const now = this.services.clock.monotonic();
     return {
       run_ends_reported: ends.reported,
       run_ends_refused: ends.refused,
@@ -195,6 +200,7 @@
       starts_unsettled: unsettledStarts,
       runners_crashed: crashes,
       jobs_given_up: crashingJobs,
+      ...adviceMetrics(this.counters, this.scheduling?.dispatcher.advice.summarize(now)),
       scheduling: this.isScheduling ? 1 : 0,
       stored_state_loaded: loadCost === undefined ? 0 : 1,
       stored_state_load_milliseconds: loadCost?.tookMs ?? 0,
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -25,6 +25,8 @@
 import { StoreKeys } from './keys.js';
 import { StoredStateReader } from './StoredStateReader.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
+import type { AdviceClient } from './AdviceClient.js';
+import { AdviceLoop } from './AdviceLoop.js';
 import { CommandSender } from './CommandSender.js';
 import { PrefixFollower } from './PrefixFollower.js';
 import type { ProcessedEnd } from './ProgressQueue.js';
@@ -64,6 +66,8 @@
   readonly store: CoordinationStore;
   readonly registry: RunnerRegistry;
   readonly runners: RunnerClient;
+  /** Undefined if the settings name no advice service. */
+  readonly advice?: AdviceClient;
   readonly clock: Clock;
   /** Clock that never runs ahead; leases of runners are judged by it. */
   readonly steadyClock: Clock;
@@ -115,6 +119,8 @@
 
   private readonly commandSender: CommandSender;
 
+  private readonly adviceLoop: AdviceLoop;
+
   private readonly jobLoader: StoredJobLoader;
 
   private loadTimer: NodeJS.Timeout | undefined;
@@ -169,6 +175,8 @@
       this,
       (error) => this.logError(error),
     );
+    const { advice } = this.dispatcher;
+    this.adviceLoop = new AdviceLoop(advice, services, this);
     this.jobLoader = new StoredJobLoader(this.dispatcher, clock, steadyClock, log);
     const followSettings = { watchMs, watchesPerRead: Infinity };
     this.watch = new PrefixFollower(store, clock, random, StoreKeys.jobPrefix, followSettings);
@@ -341,6 +349,7 @@
     this.jobLoader.loadAll(jobs, progress);
     this.isLoading = false;
     this.watch.start((error) => this.logError(error), revision);
+    this.adviceLoop.start((error) => this.logError(error));
     this.updateLinks();
     log.emit(JobEvents.storedStateLoaded, {
       token: this.termToken,
@@ -393,6 +402,7 @@
       this.dispatcher.recordLeaseExtension(runnerId, steadyClock.monotonic()),
     );
     this.updateLinks();
+    this.adviceLoop.wake();
     this.removeExpiredJobs().catch((error: unknown) => this.logError(error));
     if (this.token !== undefined) {
       this.publishChanges();
@@ -512,6 +522,7 @@
     clearTimeout(this.loadTimer);
     this.watch[Symbol.dispose]();
     this.progress[Symbol.dispose]();
+    this.adviceLoop[Symbol.dispose]();
     this.links.forEach((link) => link[Symbol.dispose]());
     this.links.clear();
     this.resumeLoop?.();
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -38,6 +38,9 @@
     level: warn,
     text: 'request of the operator names nothing known',
   },
+  adviceUnavailable: { code: 780, level: warn, text: 'no usable answer of the advice service' },
+  adviceAvailable: { code: 781, level: info, text: 'advice service answers again' },
+  adviceReceived: { code: 782, level: info, text: 'runners advised for a step' },
   unexpectedError: { code: 790, level: error, text: 'unexpected error' },
 } as const satisfies Record<string, EventKind>;
 
@@ -62,5 +65,6 @@
   runnerQuarantined: { code: 764, level: warn, text: 'runner quarantined' },
   runnerLeasesExpired: { code: 765, level: warn, text: 'leases on an unresponsive runner expired' },
   evacuationsChanged: { code: 759, level: info, text: 'data centres to be evacuated changed' },
+  permitRefused: { code: 783, level: warn, text: 'permit refused by its runner' },
   orphanStopped: { code: 766, level: warn, text: 'unknown run stopped' },
 };
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -10,6 +10,8 @@
   StoredPage,
   Transaction,
 } from './CoordinationStore.js';
+export { AdviceError, AdviceErrorKind } from './AdviceClient.js';
+export type { AdviceClient } from './AdviceClient.js';
 export { RunnerError, RunnerErrorKind } from './RunnerClient.js';
 export type { ReportRequest, RunnerClient } from './RunnerClient.js';
 export type { RunnerRegistry } from './Scheduling.js';
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -5,7 +5,12 @@
 import type { ListedRunner, Queue, Resources, StartCommand, Step } from '@apricothoist/dispatch';
 import { JobState, RunCounters } from '@apricothoist/dispatch';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
-import type { CallFate, TaskBehaviour, VirtualCall } from '@apricothoist/testing';
+import type {
+  CallFate,
+  TaskBehaviour,
+  VirtualCall,
+  VirtualRunnerOptions,
+} from '@apricothoist/testing';
 import {
   createSpecification,
   listedRunner,
@@ -20,6 +25,7 @@
 import { install } from '@sinonjs/fake-timers';
 import { err, ok } from 'neverthrow';
 
+import type { AdviceClient } from '../AdviceClient.js';
 import type { CoordinationStore } from '../CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from '../CoordinationStore.js';
 import { EvacuationRequests } from '../EvacuationRequests.js';
@@ -70,6 +76,8 @@
 export interface DeploymentOptions {
   readonly runners: number;
   readonly guardsCapacity?: boolean;
+  readonly admitsPermit?: VirtualRunnerOptions['admitsPermit'];
+  readonly advice?: AdviceClient;
   readonly capacity?: Resources;
   readonly decideFate?: (call: VirtualCall) => CallFate;
   readonly queue?: Queue;
@@ -133,6 +141,7 @@
             clockSlowness: 1 + (maxClockSlowness * number) / options.runners,
             maxLeaseMs: replayBounds.maxLeaseMs,
             guardsCapacity: options.guardsCapacity ?? true,
+            ...(options.admitsPermit && { admitsPermit: options.admitsPermit }),
             behaviourOf: (command) => this.behaviourOf(command),
           },
           this.pool,
@@ -210,6 +219,7 @@
         },
       },
       runners: this.createClient(clock),
+      ...(this.options.advice && { advice: this.options.advice }),
       clock,
       steadyClock,
       random: new Random(token),
--- a/packages/testing/src/VirtualRunner.ts
+++ b/packages/testing/src/VirtualRunner.ts
@@ -19,6 +19,8 @@
   readonly maxLeaseMs: number;
   /** Whether the runner refuses starts beyond its capacity. */
   readonly guardsCapacity: boolean;
+  /** Whether a start may use its permit at the runner process; without it, none needs one. */
+  readonly admitsPermit?: (command: StartCommand, processStartedAt: number, now: number) => boolean;
   readonly behaviourOf: (command: StartCommand) => TaskBehaviour;
 }
 
@@ -59,8 +61,8 @@
  * - A run that is being stopped may still crash its runner, but not by work (stricter).
  * - An unhealthy runner refuses starts only; the client refuses other calls (`CallFate`).
  *
- * Not modelled: draining, several copies of a task, pacing, advice and tickets, another runner at
- * the same address.
+ * Not modelled: draining, several copies of a task, pacing, another runner at the same address; permits
+ * only where `admitsPermit` is given.
  */
 export class VirtualRunner {
   /** Identifies the incarnation; zero while the process is down. */
@@ -189,6 +191,9 @@
     if (!this.isLeaseOpen) {
       return StartOutcome.leaseExpired;
     }
+    if (this.options.admitsPermit?.(command, this.processStart, now) === false) {
+      return StartOutcome.permitRefused;
+    }
     const behaviour = this.options.behaviourOf(command);
     if (this.options.guardsCapacity && !this.hasRoomFor(behaviour.size)) {
       return StartOutcome.noCapacity;
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -5,6 +5,7 @@
 export type { TaskBehaviour } from './TaskBehaviour.js';
 export { VirtualCoordinationStore } from './VirtualCoordinationStore.js';
 export { VirtualRunner } from './VirtualRunner.js';
+export type { VirtualRunnerOptions } from './VirtualRunner.js';
 export { VirtualRunnerClient } from './VirtualRunnerClient.js';
 export { VirtualRunnerPool } from './VirtualRunnerPool.js';
 export type { VirtualRunRecord } from './VirtualRunRecord.js';
