--- a/packages/dispatch/src/Permits.ts
+++ b/packages/dispatch/src/Permits.ts
@@ -46,7 +46,7 @@
   readonly processStartedAt: number;
   isGood: boolean;
   permit: Permit | undefined;
-  /** Starts that the runner refused in spite of a permit. */
+  /** Permits that the runner has refused since it last accepted one. */
   refusals: number;
 }
 
@@ -59,7 +59,7 @@
 const maxSendMarginMs = 250;
 /** Largest part of a short validity that each margin may take. */
 const maxMarginShare = 0.25;
-/** Refusals in spite of a permit after which the runner counts as bad for the step. */
+/** Refused permits in a row after which the runner counts as bad for the step. */
 const maxRefusals = 3;
 /** Assumed answers and good ones among them before the first answer: a third is good. */
 const assumedAnswers = 3;
@@ -188,13 +188,21 @@
    */
   public recordRefusal(step: string, runner: Runner): number {
     const advised = this.find(step, runner);
-    if (advised === undefined) {
-      return 0;
+    // Several starts with the same permit may be refused at once.
+    if (advised?.permit !== undefined) {
+      advised.permit = undefined;
+      advised.refusals += 1;
+      advised.isGood &&= advised.refusals < maxRefusals;
+    }
+    return advised?.refusals ?? 0;
+  }
+
+  /** Records that the runner has accepted a permit. */
+  public recordAcceptance(step: string, runner: Runner): void {
+    const advised = this.find(step, runner);
+    if (advised !== undefined) {
+      advised.refusals = 0;
     }
-    advised.permit = undefined;
-    advised.refusals += 1;
-    advised.isGood &&= advised.refusals < maxRefusals;
-    return advised.refusals;
   }
 
   /** Keeps the service from being asked about a step whose question was not answered properly. */
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -117,6 +117,9 @@
     }
     const outcome = outcomes.at(-1) ?? StartOutcome.notSent;
     if (outcome === StartOutcome.started) {
+      if (group.job.queue.advice !== undefined) {
+        this.state.permits.recordAcceptance(stepKey(group), runner);
+      }
       this.confirmMember(group, member, now);
       return;
     }
