--- a/packages/dispatch/src/AdviceSearch.ts
+++ b/packages/dispatch/src/AdviceSearch.ts
@@ -6,8 +6,9 @@
 import type { Advice } from './Job.js';
 import type { AdviceQuestion } from './Permits.js';
 import { answerMs, maxNamedRunners, RunnerAdvice, stepKey } from './Permits.js';
-import type { Resources } from './Resources.js';
 import { PlaceCount } from './PlaceCount.js';
+import { PlaceOdds } from './PlaceOdds.js';
+import type { Resources } from './Resources.js';
 import { countFitting, multiply, subtract } from './Resources.js';
 import type { Runner } from './Runner.js';
 import { isUsable } from './RunnerAvailability.js';
@@ -44,20 +45,29 @@
   readonly held: readonly Option[];
   readonly others: readonly Option[];
   readonly measure: Measure;
-  /** Number of expected good places that suffices. */
+  /** Number of good places that suffices: all of them for a gang, else expected ones. */
   readonly wanted: number;
   readonly isInOneRack: boolean;
 }
 
-/** Expected good places per waiting task for which runners are named, so that one call suffices. */
+/** Expected good places per single task for which runners are named, so that one call suffices. */
 const placesPerTask = 1.5;
-/** The same on occupied runners, because not every occupant may be preempted. */
+/** Probability, when a gang's runners are named, that the good ones hold it. */
+const sufficientOdds = 0.9;
+/** Good places per task on occupied runners, because not every occupant may be preempted. */
 const occupiedPlacesPerTask = 2;
 /**
  * Milliseconds that naming runners may add to a call. The next call has to wait for it, and urgent
  * work has about 1.3 s of slack.
  */
 const maxNamingMs = 400;
+/**
+ * Calls for urgent work in a row after which a step of other work that has waited for
+ * `maxAskWaitMs` has a turn. Without it, batch work waits for the end of a burst of urgent steps
+ * while most runners are idle, which the service requirements allow for three seconds.
+ */
+const maxUrgentCalls = 3;
+const maxAskWaitMs = 1_000;
 /** Milliseconds beyond the expected answer by which a permit is renewed before it lapses. */
 const renewalMarginMs = 150;
 
@@ -106,10 +116,10 @@
     const steps = new Map<string, WaitingStep>();
     openJobs.forEach((job) => {
       const { advice } = job.queue;
+      if (advice === undefined) {
+        return;
+      }
       job.readyGroups.forEach((group) => {
-        if (advice === undefined) {
-          return;
-        }
         const key = stepKey(group);
         const known = steps.get(key);
         if (known === undefined) {
@@ -130,20 +140,23 @@
         ? []
         : [{ key, rank: rank(group), advice, group, tasks, reservedOn: ids }];
     });
+    const { urgentCalls } = this.state.permits;
+    const isDue = ({ rank: { isUrgent, job } }: WaitingStep): boolean =>
+      !isUrgent && urgentCalls >= maxUrgentCalls && this.now - job.arrivedAt > maxAskWaitMs;
     const byRank = (left: WaitingStep, right: WaitingStep): number =>
-      compareRanks(left.rank, right.rank);
+      Number(isDue(right)) - Number(isDue(left)) || compareRanks(left.rank, right.rank);
     return [...withReservation.sort(byRank), ...[...steps.values()].sort(byRank)];
   }
 
   private questionAbout(step: WaitingStep): AdviceQuestion | undefined {
-    const options = this.optionsOf(step);
+    const options = preferDataRack(step, this.optionsOf(step));
     const held = options.filter(({ hasPermit }) => hasPermit);
     const others = options.filter(({ hasPermit }) => !hasPermit);
     if (step.reservedOn !== undefined) {
       const lapsing = others.filter(({ runner }) => step.reservedOn?.has(runner.id));
       return lapsing.length === 0 ? undefined : createQuestion(step, lapsing);
     }
-    const isInOneRack = fitsInOneRack(step, options);
+    const isInOneRack = isWantedInOneRack(step, options);
     const places = (among: readonly Option[], measure: Measure): number =>
       countPlaces(among, measure, isInOneRack);
     if (places(held, 'free') >= step.tasks) {
@@ -153,13 +166,13 @@
     const withRoom = others.filter(({ free }) => free > 0);
     const mayStart = !step.group.step.isGang || places(options, 'free') >= step.tasks;
     if (withRoom.length > 0 && mayStart) {
-      const wanted = step.tasks * placesPerTask;
+      const wanted = step.group.step.isGang ? step.tasks : step.tasks * placesPerTask;
       const choice = { held, others: withRoom, measure: 'free', wanted, isInOneRack } as const;
       return createQuestion(step, this.choose(step, choice));
     }
     this.takeRoom(step, held);
     // Urgent work may preempt, for which it must be known where.
-    const wanted = step.tasks * occupiedPlacesPerTask;
+    const wanted = isInOneRack ? step.tasks : step.tasks * occupiedPlacesPerTask;
     const occupied = others.filter(({ capacity }) => capacity > 0);
     if (!step.rank.isUrgent || occupied.length === 0 || places(held, 'capacity') >= wanted) {
       return undefined;
@@ -199,6 +212,7 @@
     { held, others, measure, wanted, isInOneRack }: Choice,
   ): Option[] {
     const { goodShare } = this.state.permits;
+    const { isGang } = step.group.step;
     const expected = (option: Option): number =>
       option[measure] * (option.isGood || option.hasPermit ? 1 : goodShare);
     const siteOf = ({ runner }: Option): string => (isInOneRack ? runner.listed.rack : '');
@@ -210,18 +224,22 @@
         expected(right) - expected(left),
     );
     const expectedPlaces = new PlaceCount(siteOf, expected, held);
+    const odds = new PlaceOdds(Math.ceil(wanted));
+    held.forEach((option) => odds.add(siteOf(option), option[measure], 1));
     const possiblePlaces = new PlaceCount(siteOf, (option) => option[measure], held);
     const timeLimit = this.limitByTime(step);
     const chosen: Option[] = [];
     for (const option of ordered) {
       const isLong = chosen.length >= timeLimit && possiblePlaces.most >= step.tasks;
-      const isEnough = expectedPlaces.most >= wanted || isLong;
+      const isProbable = isGang ? odds.success >= sufficientOdds : expectedPlaces.most >= wanted;
+      const isEnough = isProbable || isLong;
       if (chosen.length >= maxNamedRunners || (chosen.length > 0 && isEnough)) {
         break;
       }
       chosen.push(option);
       expectedPlaces.add(option);
       possiblePlaces.add(option);
+      odds.add(siteOf(option), option[measure], option.isGood ? 1 : goodShare);
     }
     return chosen;
   }
@@ -246,18 +264,35 @@
   }
 }
 
-// A rack in which too few runners are left is not asked about for the sake of a gang.
-function fitsInOneRack({ group, tasks }: WaitingStep, options: readonly Option[]): boolean {
+// Runners outside the rack of the data are asked about once it has no room.
+function preferDataRack({ group }: WaitingStep, options: readonly Option[]): readonly Option[] {
+  const { dataRack } = group.step;
+  const local = options.filter(({ runner }) => runner.listed.rack === dataRack);
+  return countPlaces(local, 'free', false) >= group.members.length ? local : options;
+}
+
+// A gang that prefers one rack is spread where no rack can hold it. Urgent gangs may preempt in a
+// rack; others need one with room, or else permits in several, since they do not wait for a rack
+// while the service is mostly idle.
+function isWantedInOneRack(
+  { group, tasks, rank }: WaitingStep,
+  options: readonly Option[],
+): boolean {
   const { isGang, prefersOneRack } = group.step;
-  return isGang && prefersOneRack && countPlaces(options, 'capacity', true) >= tasks;
+  const measure = rank.isUrgent ? 'capacity' : 'free';
+  return isGang && prefersOneRack && countPlaces(options, measure, true) >= tasks;
 }
 
-function createQuestion({ key, advice }: WaitingStep, options: readonly Option[]): AdviceQuestion {
+function createQuestion(
+  { key, advice, rank }: WaitingStep,
+  options: readonly Option[],
+): AdviceQuestion {
   const runners = options.slice(0, maxNamedRunners).map(({ runner }) => ({
     id: runner.id,
     processStartedAt: runner.listed.processStartedAt,
   }));
-  return { step: key, runners, expectedMs: answerMs(advice, runners.length) };
+  const expectedMs = answerMs(advice, runners.length);
+  return { step: key, runners, expectedMs, isUrgent: rank.isUrgent };
 }
 
 function countPlaces(options: readonly Option[], measure: Measure, isInOneRack: boolean): number {
--- a/packages/dispatch/src/Permits.ts
+++ b/packages/dispatch/src/Permits.ts
@@ -4,7 +4,8 @@
 
 /** Right to start the tasks of one step on one incarnation of a runner; times are monotonic. */
 export interface Permit {
-  readonly ticket: string;
+  /** Opaque text that the runner checks. */
+  readonly text: string;
   /** Time until which a placement may rely on the permit. */
   readonly placeBy: number;
   /** Time until which a start command with the permit may be sent. */
@@ -33,12 +34,14 @@
   readonly runners: readonly NamedRunner[];
   /** Milliseconds after which the service answers. */
   readonly expectedMs: number;
+  /** Whether urgent work waits for the answer. */
+  readonly isUrgent: boolean;
 }
 
 export interface AdviceAnswer {
-  /** Ids of the runners that may run the step, with their tickets. */
-  readonly good: readonly (readonly [id: string, ticket: string])[];
-  /** Milliseconds for which the tickets are valid. */
+  /** Ids of the runners that may run the step, with the texts of their permits. */
+  readonly good: readonly (readonly [id: string, text: string])[];
+  /** Milliseconds for which the permits are valid. */
   readonly validityMs: number;
 }
 
@@ -99,6 +102,9 @@
   /** Monotonic times before which the service is not asked about a step. */
   private readonly postponed = new Map<string, number>();
 
+  /** Answered calls for urgent work since the last one for other work. */
+  public urgentCalls = 0;
+
   /** Whether the last call of the service failed. */
   public isUnavailable = false;
 
@@ -155,27 +161,28 @@
    * @param answeredAt latest time from which the validity can count
    */
   public record(question: AdviceQuestion, answer: AdviceAnswer, answeredAt: number): string[] {
-    const tickets = new Map(answer.good);
+    const texts = new Map(answer.good);
     const named = new Set(question.runners.map(({ id }) => id));
-    const foreignIds = [...tickets.keys()].filter((id) => !named.has(id));
+    const foreignIds = [...texts.keys()].filter((id) => !named.has(id));
     this.isUnavailable = foreignIds.length > 0;
+    this.urgentCalls = question.isUrgent ? this.urgentCalls + 1 : 0;
     const advised = this.steps.get(question.step) ?? new Map<string, AdvisedRunner>();
     this.steps.set(question.step, advised);
     question.runners.forEach(({ id, processStartedAt }) => {
-      const ticket = tickets.get(id);
-      if (ticket === undefined && foreignIds.length > 0) {
+      const text = texts.get(id);
+      if (text === undefined && foreignIds.length > 0) {
         return;
       }
       const known = advised.get(id);
       const isNew = known?.processStartedAt !== processStartedAt;
       if (isNew) {
         this.answers += 1;
-        this.goodAnswers += ticket === undefined ? 0 : 1;
+        this.goodAnswers += text === undefined ? 0 : 1;
       }
       advised.set(id, {
         processStartedAt,
-        isGood: ticket !== undefined,
-        permit: ticket === undefined ? undefined : createPermit(ticket, answer, answeredAt),
+        isGood: text !== undefined,
+        permit: text === undefined ? undefined : createPermit(text, answer, answeredAt),
         refusals: isNew ? 0 : known.refusals,
       });
     });
@@ -229,11 +236,11 @@
   }
 }
 
-function createPermit(ticket: string, { validityMs }: AdviceAnswer, answeredAt: number): Permit {
+function createPermit(text: string, { validityMs }: AdviceAnswer, answeredAt: number): Permit {
   const maxMarginMs = validityMs * maxMarginShare;
   const endsAt = answeredAt + validityMs;
   return {
-    ticket,
+    text,
     placeBy: endsAt - Math.min(maxPlacementMarginMs, maxMarginMs * 2),
     sendBy: endsAt - Math.min(maxSendMarginMs, maxMarginMs),
   };
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -443,7 +443,7 @@
 }
 
 function commandPermit(permit: Permit | undefined): Partial<StartCommand> {
-  return permit === undefined ? {} : { permit: permit.ticket, permitSendBy: permit.sendBy };
+  return permit === undefined ? {} : { permit: permit.text, permitSendBy: permit.sendBy };
 }
 
 /** Assigns a member to a runner, for a start command or from stored progress. */
--- a/packages/dispatch/src/adviceLoad.test.ts
+++ b/packages/dispatch/src/adviceLoad.test.ts
@@ -128,6 +128,10 @@
     const advised = new AdvisedSimulation(racks, perRack);
     advised.run(playMs, evenLoad(urgentEveryMs, batchEveryMs));
     const { jobs } = advised.simulation;
+    t.log(
+      `urgent ${advised.waits('urgent').join(' ')}; batch ${advised.waits('batch').join(' ')} ms`,
+    );
+    t.log(`${advised.calls} calls for ${jobs.size} jobs`);
     t.true(shareWithin(advised.waits('urgent'), urgentSlackMs) >= urgentShare);
     t.is(shareWithin(advised.waits('batch'), batchTargetMs), 1);
     t.true([...jobs.values()].every(({ state }) => state === 'completed'));
@@ -138,3 +142,13 @@
     t.is(advised.calls, calls, 'no calls while nothing waits');
   });
 }
+
+// The first batch step waited 13.9 s for its turn while most runners were idle.
+test('more urgent steps than the service has calls for: batch steps have their turn', (t) => {
+  const advised = new AdvisedSimulation(35, 7);
+  advised.run(playMs, evenLoad(150, 5_000));
+  const batch = advised.waits('batch');
+  t.log(`batch ${batch.join(' ')} ms`);
+  t.is(shareWithin(batch, batchTargetMs), 1);
+  t.is(advised.invalidStarts, 0);
+});
--- a/packages/dispatch/src/permits.test.ts
+++ b/packages/dispatch/src/permits.test.ts
@@ -203,6 +203,47 @@
   t.is(ask(fixture), undefined);
 });
 
+// Runners elsewhere are slower for the step, and a rack without room is no reason to wait.
+test('the rack of the data is asked about first, and others once it has no room', (t) => {
+  const step = { ...single, count: 2, dataRack: 'near' };
+  const fixture = advisedFixture([{ ...step, isGang: false }], ['r1', 'r2', 'r3']);
+  fixture.dispatcher.updateRunners(
+    ['r1', 'r2', 'r3'].map((id) => listedRunner(id, { rack: id === 'r3' ? 'near' : 'far' })),
+    fixture.now,
+  );
+  fixture.step();
+  t.deepEqual(namedIn(fixture), ['r3']);
+  answer(fixture, ['r3']);
+  const commands = fixture.step();
+  t.deepEqual(runnersOf(commands), ['r3']);
+  fixture.recordStartOutcomes(commands, StartOutcome.started);
+  t.deepEqual(namedIn(fixture), ['r1', 'r2']);
+});
+
+test('a gang that prefers one rack is not spread while a rack may hold it', (t) => {
+  const step = { ...fixtureStep, prefersOneRack: true };
+  const ids = ['r1', 'r2', 'r3', 'r4'];
+  const fixture = advisedFixture([step], ids);
+  fixture.dispatcher.updateRunners(
+    ids.map((id) => listedRunner(id, { rack: id < 'r3' ? 'a' : 'b' })),
+    fixture.now,
+  );
+  fixture.step();
+  t.deepEqual(namedIn(fixture), ids, 'no rack alone is expected to suffice');
+  const question = ask(fixture) as AdviceQuestion;
+  const { validityMs } = advice;
+  const first = { ...question, runners: question.runners.filter(({ id }) => id !== 'r4') };
+  fixture.dispatcher.advice.record(
+    first,
+    { good: [['r1', 't'] as const, ['r3', 't'] as const], validityMs },
+    fixture.now,
+  );
+  t.deepEqual(fixture.step().starts, [], 'r4 may be good');
+  t.deepEqual(namedIn(fixture), ['r4']);
+  answer(fixture, []);
+  t.deepEqual(runnersOf(fixture.step()).sort(), ['r1', 'r3'], 'no rack is left');
+});
+
 test('nothing is preempted before it is known where the task may run', (t) => {
   const fixture = new DispatchFixture([single], undefined, ['r1', 'r2']);
   const filler = { ...plainStep, count: 2, size: single.size, declaredMs: 60_000 };
--- a/packages/instance/src/AdviceLoop.ts
+++ b/packages/instance/src/AdviceLoop.ts
@@ -91,7 +91,7 @@
       const question = this.owner.token === undefined ? undefined : this.advice.chooseQuestion(now);
       if (question === undefined) {
         await this.waitForWake();
-        await delay(searchIntervalMs);
+        await delay(Math.max(0, now + searchIntervalMs - this.services.clock.monotonic()));
       } else if (client === undefined) {
         this.recordFailure(question, 'the settings name no advice service');
         await delay(maxRetryMs);
@@ -121,7 +121,7 @@
       await this.backOff(question, answer.error);
       return;
     }
-    // The tickets were made when the service answered, however long the answer has travelled.
+    // The permits were made when the service answered, however long the answer has travelled.
     const answeredAt = Math.min(this.services.clock.monotonic(), sentAt + expectedMs);
     const foreignIds = this.advice.record(question, answer.value, answeredAt);
     this.logAnswer(question, answer.value, sentAt);
