--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -7,6 +7,7 @@
 import type { JobRun } from './JobRun.js';
 import { maxLateFactor } from './Objective.js';
 import type { RemainingRun } from './RemainingTime.js';
+import { expectedAskMs } from './Permits.js';
 import { coresOf } from './Resources.js';
 
 /** Whether a waiting job can still meet its objective. */
@@ -44,7 +45,7 @@
 /** Core-seconds below which less work does not raise the score any further. */
 const minScoredWork = 100;
 
-/** Expected milliseconds of the longest remaining chain of steps. */
+/** Expected milliseconds of the longest remaining chain of steps, the wait for permits included. */
 export function remainingChainMs(
   job: JobRun,
   estimates: DurationEstimates,
@@ -58,12 +59,25 @@
     lengths[index] = before;
     if (remainder !== undefined && remainder.tasks > 0) {
       const idleMs = remainder.hasIdle ? estimates.estimate(job.queue.name, step) : 0;
-      lengths[index] = before + Math.max(idleMs, ...remainder.running.map(remainingRun));
+      const askMs = remainder.hasIdle ? remainingAskMs(job, index) : 0;
+      lengths[index] = before + askMs + Math.max(idleMs, ...remainder.running.map(remainingRun));
     }
   });
   return Math.max(0, ...lengths);
 }
 
+// Expected time until the advice service has named runners for a step.
+function remainingAskMs(job: JobRun, stepIndex: number): number {
+  const { advice } = job.queue;
+  if (advice === undefined) {
+    return 0;
+  }
+  const hasPermits = [...job.permits].some(
+    ([step, permits]) => permits.size > 0 && step.endsWith(`.${stepIndex}`),
+  );
+  return hasPermits ? 0 : expectedAskMs(advice, job.specification.steps[stepIndex]?.count ?? 0);
+}
+
 /** Monotonic time by which the job meets its objective. */
 export function objectiveEndsAt(job: JobRun, estimates: DurationEstimates): number {
   return job.arrivedAt + objectiveMs(job, estimates);
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -4,6 +4,7 @@
 import type { Account, Queue } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import type { PreparedRunner } from './MaintenancePlan.js';
+import { Permits } from './Permits.js';
 import { RunCounters } from './RunCounters.js';
 import type { Runner } from './Runner.js';
 import type { SpeedRecord } from './RunnerSpeed.js';
@@ -23,6 +24,10 @@
   readonly payload: string;
   /** Saved progress to resume from; empty if there is none. */
   readonly saved: string;
+  /** Permit of the advice service, in queues with advice. */
+  readonly permit?: string;
+  /** Monotonic time until which a start with the permit may be sent. */
+  readonly permitSendBy?: number;
 }
 
 /** Command to stop one run of a task. */
@@ -62,7 +67,8 @@
   | 'evacuationsChanged'
   | 'speedClassesChanged'
   | 'runnerLeasesExpired'
-  | 'orphanStopped';
+  | 'orphanStopped'
+  | 'permitRefused';
 
 /** Bounds of the platform's contract; times in milliseconds. */
 export interface DispatchBounds {
@@ -141,6 +147,11 @@
 
   /** Runners whose machines are about to have their maintenance or have it, by id. */
   public maintenance: ReadonlyMap<string, PreparedRunner> = new Map();
+  /** What the advice service has said about runners. */
+  public readonly permits = new Permits();
+
+  /** Whether a queue or an open job needs the advice service. */
+  public usesAdvice = false;
 
   /** Monotonic time at which the latest listing of the runners was requested. */
   public listingRequestedAt = -Infinity;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,5 +1,6 @@
 import type { QueueStatus } from './Admission.js';
 import { describeQueues } from './Admission.js';
+import { AdviceExchange } from './AdviceExchange.js';
 import { DispatchRound } from './DispatchRound.js';
 import type {
   DecisionLog,
@@ -55,6 +56,7 @@
   public readonly state: DispatchState;
 
   public readonly maintenance: RunnerMaintenance;
+  public readonly advice: AdviceExchange;
 
   private readonly lifecycle: TaskGroupLifecycle;
 
@@ -84,6 +86,9 @@
     counters?: RunCounters,
   ) {
     this.state = new DispatchState(bounds, log, policy, counters);
+    this.advice = new AdviceExchange(this.state, () => {
+      this.isRoundDue = true;
+    });
     this.lifecycle = new TaskGroupLifecycle(this.state);
     this.maintenance = new RunnerMaintenance(this.state, this.lifecycle);
     this.crashes = new RunnerCrashes(this.state);
@@ -105,6 +110,7 @@
     this.state.jobs.forEach((job) => {
       job.queue = queues.get(job.specification.queue) ?? job.queue;
     });
+    this.advice.updateUse();
   }
 
   /**
@@ -126,6 +132,7 @@
     const job = new JobRun(specification, queue, arrivedAt);
     this.state.jobs.set(job.id, job);
     this.state.openJobs.add(job);
+    this.state.usesAdvice ||= queue.advice !== undefined;
     this.isRoundDue = true;
     if (stored !== undefined) {
       job.storedVersion = stored.version;
@@ -240,7 +247,8 @@
       runner?.listed.processStartedAt === processStartedAt &&
       sendRestriction(this.state, runner, now) === undefined &&
       member !== undefined &&
-      !member.isStopRequested
+      !member.isStopRequested &&
+      this.advice.isPermitted(command, now)
     );
   }
 
@@ -367,6 +375,7 @@
         .map(({ id }) => id);
       this.nextRemovalAt = this.expiredJobIds.length > 0 ? now + removalIntervalMs : now;
     }
+    this.advice.forgetEndedJobs();
     this.runnerChecks.forgetStops(now - retentionMs);
   }
 }
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -1,4 +1,4 @@
-import type { DispatchState } from './DispatchState.js';
+import type { DispatchState, StartCommand } from './DispatchState.js';
 import { EndEvidence } from './EndEvidence.js';
 import { JobState } from './Job.js';
 import type { JobRun } from './JobRun.js';
@@ -7,6 +7,8 @@
 import type { Occupant, Runner } from './Runner.js';
 import { occupantKey } from './Runner.js';
 import { RunHistory } from './RunHistory.js';
+import type { Permit } from './Permits.js';
+import { stepKey } from './Permits.js';
 import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
 import { StartOutcome } from './StartOutcome.js';
 import type { Member, TaskGroup } from './TaskGroup.js';
@@ -66,6 +68,7 @@
       Array.from({ length: count }, () => runnerId),
     );
     group.members.forEach(({ crashes }) => crashes.recordStart());
+    const { permits } = group;
     group.members.forEach((member, position) => {
       const runner = this.state.runners.get(runnerIds[position] as string) as Runner;
       placeMember(group, member, runner, RunHistory.forStart());
@@ -77,6 +80,7 @@
         run: group.run,
         payload: group.job.specification.payload,
         saved: group.saved,
+        ...commandPermit(permits?.get(runner.id)),
       });
     });
     group.job.isDirty = true;
@@ -114,6 +118,9 @@
     }
     const outcome = outcomes.at(-1) ?? StartOutcome.notSent;
     if (outcome === StartOutcome.started) {
+      if (group.job.queue.advice !== undefined) {
+        this.state.permits.recordAcceptance(stepKey(group), runner);
+      }
       this.confirmMember(group, member, now);
       return;
     }
@@ -121,6 +128,9 @@
     if (fault !== undefined) {
       reportRunnerFault(this.state, runner, fault, now);
     }
+    if (outcome === StartOutcome.permitRefused) {
+      this.refusePermit(group, runner);
+    }
     const isUnanswered = outcome === StartOutcome.unknown;
     runner.isReportDue ||= outcome === StartOutcome.leaseExpired;
     group.retryAt = now + (isUnanswered ? unansweredRetryMs : refusedRetryMs);
@@ -281,6 +291,19 @@
     this.stopJob(job, reason, now);
   }
 
+  private refusePermit(group: TaskGroup, runner: Runner): void {
+    const step = stepKey(group);
+    const refusals = this.state.permits.recordRefusal(step, runner);
+    this.state.counters.refusedPermits += 1;
+    this.state.log.decide('permitRefused', {
+      job: group.job.id,
+      step,
+      runner: runner.id,
+      startedAt: runner.listed.processStartedAt,
+      refusals,
+    });
+  }
+
   // A run that fails right after its start indicates a fault of the runner rather than of the job.
   private classifyFailure(group: TaskGroup, now: number): RunnerFault {
     const expectedMs = this.state.estimates.estimate(group.job.queue.name, group.step);
@@ -422,6 +445,10 @@
   }
 }
 
+function commandPermit(permit: Permit | undefined): Partial<StartCommand> {
+  return permit === undefined ? {} : { permit: permit.text, permitSendBy: permit.sendBy };
+}
+
 /** Assigns a member to a runner, for a start command or from stored progress. */
 export function placeMember(
   group: TaskGroup,
--- a/packages/instance/src/MaintenanceWaves.ts
+++ b/packages/instance/src/MaintenanceWaves.ts
@@ -217,7 +217,8 @@
       retryAt: this.retryAt,
       departed: this.departed,
       maintenanceMs: this.platform.maintenanceMs,
-      maxCalls: this.now < this.callsFrom ? 0 : Math.max(1, Math.floor(this.callsPerMs * this.intervalMs)),
+      maxCalls:
+        this.now < this.callsFrom ? 0 : Math.max(1, Math.floor(this.callsPerMs * this.intervalMs)),
     };
   }
 
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -27,6 +27,8 @@
 import { StoreKeys } from './keys.js';
 import { StoredStateReader } from './StoredStateReader.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
+import type { AdviceClient } from './AdviceClient.js';
+import { AdviceLoop } from './AdviceLoop.js';
 import { CommandSender } from './CommandSender.js';
 import { PrefixFollower } from './PrefixFollower.js';
 import type { ProcessedEnd } from './ProgressQueue.js';
@@ -66,6 +68,8 @@
   readonly store: CoordinationStore;
   readonly registry: RunnerRegistry;
   readonly runners: RunnerClient;
+  /** Undefined if the settings name no advice service. */
+  readonly advice?: AdviceClient;
   readonly clock: Clock;
   /** Clock that never runs ahead; leases of runners are judged by it. */
   readonly steadyClock: Clock;
@@ -119,6 +123,8 @@
 
   private readonly commandSender: CommandSender;
 
+  private readonly adviceLoop: AdviceLoop;
+
   private readonly jobLoader: StoredJobLoader;
 
   private loadTimer: NodeJS.Timeout | undefined;
@@ -175,6 +181,8 @@
       this,
       (error) => this.logError(error),
     );
+    const { advice } = this.dispatcher;
+    this.adviceLoop = new AdviceLoop(advice, services, this);
     this.jobLoader = new StoredJobLoader(this.dispatcher, clock, steadyClock, log);
     const followSettings = { watchMs, watchesPerRead: Infinity };
     this.watch = new PrefixFollower(store, clock, random, StoreKeys.jobPrefix, followSettings);
@@ -359,6 +367,7 @@
     this.jobLoader.loadAll(jobs, progress);
     this.isLoading = false;
     this.watch.start((error) => this.logError(error), revision);
+    this.adviceLoop.start((error) => this.logError(error));
     this.updateLinks();
     log.emit(JobEvents.storedStateLoaded, {
       token: this.termToken,
@@ -412,6 +421,7 @@
       this.dispatcher.recordLeaseExtension(runnerId, steadyClock.monotonic()),
     );
     this.updateLinks();
+    this.adviceLoop.wake();
     this.removeExpiredJobs().catch((error: unknown) => this.logError(error));
     if (this.token !== undefined) {
       this.publishChanges();
@@ -534,6 +544,7 @@
     this.watch[Symbol.dispose]();
     this.maintenance?.[Symbol.dispose]();
     this.progress[Symbol.dispose]();
+    this.adviceLoop[Symbol.dispose]();
     this.links.forEach((link) => link[Symbol.dispose]());
     this.links.clear();
     this.resumeLoop?.();
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -48,6 +48,9 @@
   machineGivenUp: { code: 777, level: warn, text: 'machine is not part of its wave' },
   waveUnreadable: { code: 778, level: error, text: 'maintenance wave unreadable' },
   waveLate: { code: 779, level: warn, text: 'maintenance wave not completed in time' },
+  adviceUnavailable: { code: 780, level: warn, text: 'no usable answer of the advice service' },
+  adviceAvailable: { code: 781, level: info, text: 'advice service answers again' },
+  adviceReceived: { code: 782, level: info, text: 'runners advised for a step' },
   unexpectedError: { code: 790, level: error, text: 'unexpected error' },
 } as const satisfies Record<string, EventKind>;
 
@@ -73,5 +76,6 @@
   runnerLeasesExpired: { code: 765, level: warn, text: 'leases on an unresponsive runner expired' },
   speedClassesChanged: { code: 745, level: info, text: 'classes of runner speeds changed' },
   evacuationsChanged: { code: 759, level: info, text: 'data centres to be evacuated changed' },
+  permitRefused: { code: 783, level: warn, text: 'permit refused by its runner' },
   orphanStopped: { code: 766, level: warn, text: 'unknown run stopped' },
 };
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -13,6 +13,8 @@
 export { MachineError, MaintenanceOutcome } from './MachineClient.js';
 export type { MachineCaller, MachineClient, MaintenancePlatform } from './MachineClient.js';
 export type { WaveRequest } from './WaveRequests.js';
+export { AdviceError, AdviceErrorKind } from './AdviceClient.js';
+export type { AdviceClient } from './AdviceClient.js';
 export { RunnerError, RunnerErrorKind } from './RunnerClient.js';
 export type { ReportRequest, RunnerClient } from './RunnerClient.js';
 export type { RunnerRegistry } from './Scheduling.js';
