Forward submissions, state reads and cancellations to the holder

Cause: an instance that alone was cut off from the store held each submission until its deadline, then answered 504, or refused it although the holder could store it.

Change: all store calls of the instance pass through StoreMonitor. When the store is out of reach, a submission that was not sent goes to the holder over the feed connection, which stores it by the same conditional create; otherwise it is refused, with a Retry-After of 0 where others reach the store. One that was sent ends as unknown as soon as no outcome is expected in time. A holder of an earlier version reports no request version and gets no requests. States that the holder reported seconds ago are answered, and marked in the log. Metrics and events J733 and J734 show forwarding. The constructor of JobService has changed, so its tests pass other arguments.

--- a/packages/instance/src/FeedClient.ts
+++ b/packages/instance/src/FeedClient.ts
@@ -5,6 +5,8 @@
 
 import type { HolderLocation } from './Election.js';
 import { feedUrl } from './feedAddress.js';
+import { isFeedAnswer } from './FeedRequest.js';
+import { HolderRequests } from './HolderRequests.js';
 import type { FeedUpdate, JobStatusCache } from './JobStatusCache.js';
 
 /** Timeout of the handshake in milliseconds: the delay that an unresponsive address causes. */
@@ -39,6 +41,8 @@
     private readonly clock: Clock,
     /** Processing capacity of this instance in cores. */
     private readonly cores: number,
+    /** Requests that are sent over the connection. */
+    private readonly requests = new HolderRequests(clock),
   ) {
     this.timer = setInterval(() => this.checkIdle(), checkIntervalMs);
   }
@@ -78,21 +82,34 @@
     }
     this.receivedAt = this.clock.monotonic();
     try {
-      const update = unpack(data) as FeedUpdate;
-      this.isHolderInDoubt = update.isInDoubt === true;
-      if (!this.isHolderInDoubt) {
-        this.statusCache.apply(update);
+      const message: unknown = unpack(data);
+      if (isFeedAnswer(message)) {
+        this.requests.receive(message);
+        return;
       }
+      this.apply(message as FeedUpdate);
     } catch (error) {
       this.drop(socket, `unreadable update: ${messageOf(error)}`);
       return;
     }
     if (!this.isConnected) {
       this.isConnected = true;
+      this.requests.connect((frame) => trySend(socket, frame));
       this.changed.fire({ isConnected: true, reason: 'snapshot received' });
     }
   }
 
+  private apply(update: FeedUpdate): void {
+    this.isHolderInDoubt = update.isInDoubt === true;
+    if (!this.isHolderInDoubt) {
+      this.statusCache.apply(update);
+    }
+    const { isStoreReachable = false, requestVersion = 0 } = update.service ?? {};
+    if (this.isHolderInDoubt || update.service !== undefined) {
+      this.requests.recordReport(isStoreReachable, requestVersion);
+    }
+  }
+
   private checkIdle(): void {
     if (this.socket !== undefined && this.clock.monotonic() - this.receivedAt > idleTimeoutMs) {
       this.drop(this.socket, 'no update before the idle timeout');
@@ -105,6 +122,7 @@
       return;
     }
     this.socket = undefined;
+    this.requests.disconnect(reason);
     if (this.isConnected) {
       this.isConnected = false;
       this.changed.fire({ isConnected: false, reason });
@@ -117,3 +135,11 @@
     this.changed[Symbol.dispose]();
   }
 }
+
+function trySend(socket: WebSocket, frame: Buffer): boolean {
+  const isOpen = socket.readyState === WebSocket.OPEN;
+  if (isOpen) {
+    socket.send(frame);
+  }
+  return isOpen;
+}
--- /dev/null
+++ b/packages/instance/src/FeedRequest.ts
@@ -0,0 +1,70 @@
+import type { JobSpecification, Queue } from '@apricothoist/dispatch';
+import { unpack } from 'msgpackr';
+
+import type { StateResult, SubmitResult, Lookup } from './requestResults.js';
+
+/**
+ * Version of the requests that an instance answers on its feed; its updates report it. An instance
+ * of an earlier version reports none, is sent no request, and sends none.
+ */
+export const feedRequestVersion = 1;
+
+/** Bytes of the largest request: the largest body of a submission and its job as decoded. */
+export const maxRequestBytes = 1_000_000;
+
+export const ForwardedOperation = { submit: 'submit', state: 'state', cancel: 'cancel' } as const;
+export type ForwardedOperation = (typeof ForwardedOperation)[keyof typeof ForwardedOperation];
+
+/** What an instance asks the scheduling instance to do for a client. */
+export type ForwardedRequest =
+  | {
+      readonly operation: typeof ForwardedOperation.submit;
+      readonly specification: JobSpecification;
+      readonly queue: Queue;
+    }
+  | {
+      readonly operation: typeof ForwardedOperation.state | typeof ForwardedOperation.cancel;
+      readonly id: string;
+    };
+
+export type ForwardedResult =
+  { readonly submit: SubmitResult } | { readonly state: StateResult } | { readonly cancel: Lookup };
+
+/** Frame from an instance to the scheduling instance. */
+export interface FeedRequest {
+  readonly requestVersion: number;
+  /** Number of the request on its connection. */
+  readonly request: number;
+  /** Milliseconds until the deadline when it was sent; clocks of instances are not comparable. */
+  readonly leftMs: number;
+  readonly body: ForwardedRequest;
+}
+
+/** Frame from the scheduling instance with the answer to a request. */
+export interface FeedAnswer {
+  readonly answerTo: number;
+  /** Absent if the request was rejected before anything was done for it. */
+  readonly result?: ForwardedResult;
+  /** Why it was rejected, for the log. */
+  readonly rejection?: string;
+}
+
+export function isFeedAnswer(message: unknown): message is FeedAnswer {
+  return typeof (message as FeedAnswer | undefined)?.answerTo === 'number';
+}
+
+/** Returns undefined for a message of an unknown kind, which is ignored. */
+export function parseFeedRequest(data: Buffer): FeedRequest | undefined {
+  try {
+    const message = unpack(data) as Partial<FeedRequest> | null;
+    const isRequest =
+      typeof message?.request === 'number' &&
+      typeof message.leftMs === 'number' &&
+      typeof message.requestVersion === 'number' &&
+      typeof message.body === 'object';
+    return isRequest ? (message as FeedRequest) : undefined;
+  } catch {
+    // The feed goes on; the sender learns nothing and treats the outcome as unknown.
+    return undefined;
+  }
+}
--- a/packages/instance/src/FeedServer.ts
+++ b/packages/instance/src/FeedServer.ts
@@ -5,6 +5,8 @@
 import { WebSocket, WebSocketServer } from 'ws';
 
 import { followerCores } from './feedAddress.js';
+import type { FeedAnswer, FeedRequest } from './FeedRequest.js';
+import { maxRequestBytes, parseFeedRequest } from './FeedRequest.js';
 import type { FeedUpdate, JobStatusCache } from './JobStatusCache.js';
 
 /** Buffered bytes beyond which a slow follower is disconnected; it reconnects for a snapshot. */
@@ -16,7 +18,11 @@
     response.writeHead(426).end();
   });
 
-  private readonly sockets = new WebSocketServer({ server: this.http, perMessageDeflate: false });
+  private readonly sockets = new WebSocketServer({
+    server: this.http,
+    perMessageDeflate: false,
+    maxPayload: maxRequestBytes,
+  });
 
   private readonly coresBySocket = new Map<WebSocket, number>();
 
@@ -24,6 +30,8 @@
 
   public constructor(
     private readonly statusCache: JobStatusCache,
+    /** Serves a request of a follower. */
+    private readonly serve: (request: FeedRequest) => Promise<FeedAnswer>,
     private readonly onError: (error: unknown) => void,
   ) {
     this.sockets.on('connection', (socket, request) => this.accept(socket, request));
@@ -87,9 +95,21 @@
     }
     this.coresBySocket.set(socket, followerCores(request.url));
     socket.on('close', () => this.coresBySocket.delete(socket));
+    socket.on('message', (data: Buffer) => this.receive(socket, data).catch(this.onError));
     socket.send(pack(this.statusCache.snapshot()));
   }
 
+  private async receive(socket: WebSocket, data: Buffer): Promise<void> {
+    const request = parseFeedRequest(data);
+    if (request === undefined) {
+      return;
+    }
+    const answer = await this.serve(request);
+    if (socket.readyState === WebSocket.OPEN) {
+      socket.send(pack(answer));
+    }
+  }
+
   public async [Symbol.asyncDispose](): Promise<void> {
     this.close();
     this.sockets.close();
--- a/packages/instance/src/FeedUpdateBuffer.ts
+++ b/packages/instance/src/FeedUpdateBuffer.ts
@@ -2,8 +2,8 @@
 
 import type { FeedUpdate } from './JobStatusCache.js';
 
-/** Changes of jobs and queues; the instance adds the cores of the strongest instance. */
-export type JobUpdate = Omit<FeedUpdate, 'strongestCores'>;
+/** Changes of jobs and queues; the instance adds what it knows of itself and others. */
+export type JobUpdate = Omit<FeedUpdate, 'strongestCores' | 'service'>;
 
 /**
  * Milliseconds between updates with changed states: each one costs a frame per follower, and states
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -15,6 +15,8 @@
 import { JobEvents } from './events.js';
 import { FeedClient } from './FeedClient.js';
 import { FeedServer } from './FeedServer.js';
+import { ForwardedRequestHandler } from './ForwardedRequestHandler.js';
+import { describeInstance } from './instanceStatus.js';
 import { JobStatusCache } from './JobStatusCache.js';
 import { LoadLimit } from './LoadLimit.js';
 import { JobService } from './JobService.js';
@@ -22,6 +24,7 @@
 import type { RunnerClient } from './RunnerClient.js';
 import type { RunnerRegistry } from './Scheduling.js';
 import { Scheduling } from './Scheduling.js';
+import { StoreAccess } from './StoreAccess.js';
 import { StrongestCores } from './StrongestCores.js';
 
 /** Settings of a job instance. */
@@ -87,6 +90,10 @@
 
   private readonly election: Election;
 
+  private readonly storeAccess: StoreAccess;
+
+  private readonly forwardedRequests: ForwardedRequestHandler;
+
   private readonly feedServer: FeedServer;
 
   private readonly feedClient: FeedClient;
@@ -118,18 +125,26 @@
 
   private isStopping = false;
 
-  private isStoreUnavailable = false;
-
   private wasReady = false;
 
   public constructor(
     private readonly settings: InstanceSettings,
     private readonly services: InstanceServices,
   ) {
-    const { store, clock, random } = services;
+    const { clock, random } = services;
+    this.storeAccess = this.disposables.register(
+      new StoreAccess({ ...services, isScheduling: () => this.isScheduling }, this.onError),
+    );
+    const { store, outlook, requests } = this.storeAccess;
     this.transferPolicy = new LeadershipTransferPolicy(settings.cores);
     this.statusCache = new JobStatusCache(clock);
-    this.jobs = new JobService(store, this.statusCache, clock, () => this.isStoreUnavailable);
+    this.jobs = new JobService(store, this.statusCache, clock, outlook, requests);
+    this.forwardedRequests = new ForwardedRequestHandler(
+      this.jobs,
+      clock,
+      () => this.storeAccess.findObstacle(),
+      services.log,
+    );
     this.configurationFollower = this.disposables.register(
       new ConfigurationFollower(
         store,
@@ -141,9 +156,15 @@
       ),
     );
     this.evacuations = new EvacuationRequests(services.operatorKeys.evacuations);
-    this.feedServer = this.disposables.register(new FeedServer(this.statusCache, this.onError));
+    this.feedServer = this.disposables.register(
+      new FeedServer(
+        this.statusCache,
+        (request) => this.forwardedRequests.handle(request),
+        this.onError,
+      ),
+    );
     this.feedClient = this.disposables.register(
-      new FeedClient(this.statusCache, clock, settings.cores),
+      new FeedClient(this.statusCache, clock, settings.cores, requests),
     );
     const { name, feedHost, feedPort, cores } = settings;
     this.strongestCores = new StrongestCores(store, clock, this.statusCache);
@@ -183,34 +204,18 @@
   }
 
   public get status(): Readonly<Record<string, number>> {
-    const { ends, overlaps, unsettledStarts, crashes, crashingJobs } = this.counters;
-    const loadCost = this.scheduling?.loadCost;
-    const progress = this.scheduling?.progress;
-    return {
-      run_ends_reported: ends.reported,
-      run_ends_refused: ends.refused,
-      run_ends_absent: ends.absent,
-      run_ends_lease_expired: ends.leaseExpired,
-      runs_overlapping: overlaps,
-      starts_unsettled: unsettledStarts,
-      runners_crashed: crashes,
-      jobs_given_up: crashingJobs,
-      scheduling: this.isScheduling ? 1 : 0,
-      stored_state_loaded: loadCost === undefined ? 0 : 1,
-      stored_state_load_milliseconds: loadCost?.tookMs ?? 0,
-      stored_state_load_bytes: loadCost?.bytes ?? 0,
-      progress_unstored_jobs: progress?.unstoredJobs ?? 0,
-      starts_waiting_for_store: progress?.waitingStarts.length ?? 0,
-      start_store_wait_milliseconds_max: progress?.maxStartWaitMs ?? 0,
+    return describeInstance({
+      counters: this.counters,
+      isScheduling: this.isScheduling,
+      scheduling: this.scheduling,
       followers: this.feedServer.followers,
-      jobs_known: this.statusCache.size,
-      data_centres_evacuated: this.evacuations.dataCentres.size,
-      board_age_milliseconds: Math.round(this.statusCache.ageMs),
-      configuration_version: this.configurationFollower.current?.version ?? 0,
-      configuration_age_milliseconds: Math.round(this.configurationFollower.ageMs),
-      configuration_bytes: this.configurationFollower.sizeBytes,
-      log_lines_dropped: this.services.log.droppedLines,
-    };
+      statusCache: this.statusCache,
+      evacuations: this.evacuations,
+      configurationFollower: this.configurationFollower,
+      log: this.services.log,
+      storeAccess: this.storeAccess,
+      forwardedRequests: this.forwardedRequests,
+    });
   }
 
   public async start(): Promise<void> {
@@ -245,7 +250,7 @@
     this.configurationFollower.onUnreadable((message) =>
       log.emit(JobEvents.configurationUnreadable, { message }),
     );
-    this.configurationFollower.onCallEnd((error) => this.recordStoreCall(error?.message));
+    this.storeAccess.monitor.onChange(() => this.reportStoreChange());
     this.election.onTermStart((term) => this.beginScheduling(term));
     this.election.onTermEnd((reason) => this.endScheduling(reason));
     this.election.onDoubtChange((isInDoubt) => {
@@ -271,12 +276,10 @@
     });
   }
 
-  private recordStoreCall(failure: string | undefined): void {
-    const isUnavailable = failure !== undefined;
-    if (isUnavailable !== this.isStoreUnavailable) {
-      this.isStoreUnavailable = isUnavailable;
-      const kind = isUnavailable ? JobEvents.storeUnavailable : JobEvents.storeAvailable;
-      this.services.log.emit(kind, { message: failure });
+  // Followers learn of an outage at once: they forward requests, or refuse them, accordingly.
+  private reportStoreChange(): void {
+    if (this.isScheduling && this.scheduling?.loadCost !== undefined) {
+      this.publish({ isWhole: false, states: [], forgotten: [], queues: [] });
     }
   }
 
@@ -288,6 +291,7 @@
     this.scheduling = new Scheduling(
       {
         ...this.services,
+        store: this.storeAccess.store,
         bounds: this.settings.bounds,
         counters: this.counters,
         evacuations: this.evacuations,
@@ -309,7 +313,8 @@
     const now = this.services.clock.monotonic();
     const inheritedCores = now < this.inheritedCoresUntil ? this.inheritedCores : 0;
     const strongestCores = Math.max(this.settings.cores, followerCores, inheritedCores);
-    const update = { ...jobUpdate, strongestCores };
+    const service = this.storeAccess.describeService();
+    const update = { ...jobUpdate, strongestCores, service };
     this.statusCache.apply(update);
     this.feedServer.open();
     this.feedServer.publish(update);
--- a/packages/instance/src/JobService.test.ts
+++ b/packages/instance/src/JobService.test.ts
@@ -16,8 +16,10 @@
 import type { CoordinationStore } from './CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
 import { JobStatusCache } from './JobStatusCache.js';
-import { JobService, Lookup } from './JobService.js';
+import { JobService } from './JobService.js';
 import { StoreKeys } from './keys.js';
+import { Lookup } from './requestResults.js';
+import { fakeOutlook, noForwarder } from './testing/fakeOutlook.js';
 
 const specification = createSpecification('00000000000000aa', [plainStep]);
 const storedJob = JSON.stringify({ specification, queue: replayQueues.urgent as Queue });
@@ -178,7 +180,8 @@
       this.store as unknown as CoordinationStore,
       this.statusCache,
       this.clock,
-      () => false,
+      fakeOutlook(() => false),
+      noForwarder,
     );
     const startedAt = start + random.below(playMs / 2);
     this.stateTimes = [start, startedAt, startedAt + random.below(playMs / 2)];
--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -1,148 +1,81 @@
 import type { Clock } from '@apricothoist/common';
-import { delay } from '@apricothoist/common';
-import type { Admission, JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
-import { decideAdmission, isFinal, JobState } from '@apricothoist/dispatch';
-import type { Result } from 'neverthrow';
-
-import type { CommitResult, CoordinationError, CoordinationStore } from './CoordinationStore.js';
-import { absentRevision, CoordinationErrorKind } from './CoordinationStore.js';
+import type { JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
+import { isFinal, JobState } from '@apricothoist/dispatch';
+
+import type { CoordinationStore } from './CoordinationStore.js';
+import { absentRevision } from './CoordinationStore.js';
+import type { ForwardedRequest, ForwardedResult } from './FeedRequest.js';
+import { ForwardedOperation } from './FeedRequest.js';
+import type { RequestForwarder } from './HolderRequests.js';
+import { ForwardOutcome } from './HolderRequests.js';
 import type { JobStatusCache } from './JobStatusCache.js';
+import { JobSubmission } from './JobSubmission.js';
 import { StoreKeys } from './keys.js';
-import { RecentSet } from './RecentSet.js';
-import type { StoredJob } from './StoredJob.js';
+import { backOff, callDeadline } from './requestBackoff.js';
+import type { StateResult, SubmitResult } from './requestResults.js';
+import { Lookup } from './requestResults.js';
 import { parseRecord } from './StoredJob.js';
-import { StoreTiming } from './StoreTiming.js';
-
-export const SubmitOutcome = {
-  accepted: 'accepted',
-  /** Certainly not stored; the client may retry after `retryAfterMs`. */
-  refused: 'refused',
-  /** The job may or may not be stored. */
-  unknown: 'unknown',
-} as const;
-export type SubmitOutcome = (typeof SubmitOutcome)[keyof typeof SubmitOutcome];
-
-export interface SubmitResult {
-  readonly outcome: SubmitOutcome;
-  /** Reason of the outcome, for the log. */
-  readonly reason: string;
-  readonly retryAfterMs?: number;
-}
-
-export const Lookup = { found: 'found', absent: 'absent', unknown: 'unknown' } as const;
-export type Lookup = (typeof Lookup)[keyof typeof Lookup];
+import type { StoreOutlook } from './StoreOutlook.js';
+import { StoreReach } from './StoreReachability.js';
 
-export interface StateResult {
-  readonly lookup: Lookup;
-  readonly state?: JobState;
-  /** Source and age of the state, for the log. */
-  readonly source: string;
+export interface RequestOptions {
+  /** Whether the request may be sent to the scheduling instance; false if it came from another. */
+  readonly mayForward: boolean;
 }
 
-/** First and longest back-off in milliseconds between store calls for one request; it doubles. */
-const firstBackoffMs = 20;
-const maxBackoffMs = 300;
-/** Retry-After in milliseconds while the store refuses calls or does not answer. */
-const storeRetryAfterMs = 1_000;
+const fromClient: RequestOptions = { mayForward: true };
 
-/** Remembered submissions with unknown outcome: several minutes of a store outage at full load. */
-const maxUnknownOutcomes = 1_000;
+/**
+ * Age in milliseconds up to which a reported state is an answer although it is no longer recent.
+ * Changes must be visible within three seconds, but there are none while the store is out of reach
+ * for all.
+ */
+const maxReportedAgeMs: Record<StoreReach, number> = {
+  [StoreReach.reachable]: 0,
+  [StoreReach.slow]: 0,
+  [StoreReach.outOfReachHere]: 3_000,
+  [StoreReach.outOfReachForAll]: 8_000,
+};
 
 /** Submission, state queries and cancellation of jobs; runs on every instance. */
 export class JobService {
-  /** Jobs that an earlier attempt here may have stored; refusing them could be wrong. */
-  private readonly unknownOutcomes = new RecentSet(maxUnknownOutcomes);
+  private readonly submission: JobSubmission;
 
   public constructor(
     private readonly store: CoordinationStore,
     private readonly statusCache: JobStatusCache,
     private readonly clock: Clock,
-    /** Whether the store is known to be unavailable to this instance. */
-    private readonly isStoreUnavailable: () => boolean,
-  ) {}
+    private readonly outlook: StoreOutlook,
+    private readonly forwarder: RequestForwarder,
+  ) {
+    this.submission = new JobSubmission(store, statusCache, clock, outlook, forwarder);
+  }
 
   /**
    * Stores the job. Submitting a job that is already stored is accepted.
    *
    * @param deadline monotonic milliseconds
    */
-  public async submit(
+  public submit(
     specification: JobSpecification,
     queue: Queue,
     deadline: number,
+    { mayForward }: RequestOptions = fromClient,
   ): Promise<SubmitResult> {
-    if (this.statusCache.stateOf(specification.id) !== undefined) {
-      return { outcome: SubmitOutcome.accepted, reason: 'already known' };
-    }
-    if (this.isStoreUnavailable()) {
-      const reason = 'the store is unavailable';
-      return this.unknownOutcomes.has(specification.id)
-        ? { outcome: SubmitOutcome.unknown, reason }
-        : { outcome: SubmitOutcome.refused, reason, retryAfterMs: storeRetryAfterMs };
-    }
-    const queueStatus = this.statusCache.isFresh
-      ? this.statusCache.queueStatusOf(queue.name)
-      : undefined;
-    const admission = decideAdmission(specification, queue, queueStatus);
-    if (!admission.isAccepted) {
-      return this.refuseUnlessStored(specification.id, admission, deadline);
-    }
-    const stored: StoredJob = { specification, queue };
-    const key = StoreKeys.job(specification.id);
-    const transaction = {
-      expect: [{ key, revision: absentRevision }],
-      writes: [{ key, value: JSON.stringify(stored) }],
-    };
-    let mayBeStored = this.unknownOutcomes.has(specification.id);
-    for (let call = 0; this.clock.monotonic() < deadline; call += 1) {
-      const result = await this.store.commit(transaction, this.callDeadline(deadline));
-      if (result.isOk()) {
-        return { outcome: SubmitOutcome.accepted, reason: describeCommit(result) };
-      }
-      mayBeStored ||= result.error.kind !== CoordinationErrorKind.refused;
-      if (!mayBeStored) {
-        return {
-          outcome: SubmitOutcome.refused,
-          reason: describeCommit(result),
-          retryAfterMs: storeRetryAfterMs,
-        };
-      }
-      // Only another call can show whether the job is stored, and clients cannot safely resubmit
-      // work that may already have run.
-      await this.backOff(call, deadline);
-    }
-    this.unknownOutcomes.add(specification.id);
-    return {
-      outcome: SubmitOutcome.unknown,
-      reason: 'the store did not answer before the deadline',
-    };
+    return this.submission.submit({ specification, queue, deadline, mayForward });
   }
 
-  // An earlier attempt may have been accepted by another instance; then a refusal would be wrong.
-  private async refuseUnlessStored(
-    id: string,
-    { reason, retryAfterMs }: Extract<Admission, { isAccepted: false }>,
-    deadline: number,
-  ): Promise<SubmitResult> {
-    for (let call = 0; this.clock.monotonic() < deadline; call += 1) {
-      const found = await this.store.read(StoreKeys.job(id), this.callDeadline(deadline));
-      if (found.isOk() && found.value !== undefined) {
-        return { outcome: SubmitOutcome.accepted, reason: 'already stored' };
-      }
-      // An unanswered write of this instance may still take effect.
-      if (found.isOk() && !this.unknownOutcomes.has(id)) {
-        return { outcome: SubmitOutcome.refused, reason, retryAfterMs };
-      }
-      await this.backOff(call, deadline);
-    }
-    return {
-      outcome: SubmitOutcome.unknown,
-      reason: 'the store did not confirm that the job is absent',
-    };
+  /** Milliseconds after which a client should retry; undefined while the store can be reached. */
+  public get storeRetryAfterMs(): number | undefined {
+    return this.outlook.isOutOfReach ? this.outlook.retryAfterMs() : undefined;
   }
 
   /** Tries both the status cache and the store until one has the state or the deadline passes. */
-  public async stateOf(id: string, deadline: number): Promise<StateResult> {
+  public async stateOf(
+    id: string,
+    deadline: number,
+    { mayForward }: RequestOptions = fromClient,
+  ): Promise<StateResult> {
     let source = 'the deadline passed';
     for (let call = 0; ; call += 1) {
       const known = this.cachedStateOf(id);
@@ -152,27 +85,46 @@
       if (this.clock.monotonic() >= deadline) {
         return { lookup: Lookup.unknown, source };
       }
+      const forwarded = await this.forward(
+        { operation: ForwardedOperation.state, id },
+        deadline,
+        mayForward,
+      );
+      if (forwarded !== undefined && 'state' in forwarded) {
+        const { state } = forwarded;
+        if (state.lookup !== Lookup.unknown) {
+          return { ...state, source: `forwarded: ${state.source}` };
+        }
+      }
       const stored = await this.readState(id, deadline);
       if (stored.lookup !== Lookup.unknown) {
         return stored;
       }
       source = stored.source;
-      await this.backOff(call, deadline);
+      await backOff(this.clock, call, deadline);
     }
   }
 
   // A final state is valid at any age.
   private cachedStateOf(id: string): StateResult | undefined {
     const state = this.statusCache.stateOf(id);
-    if (state === undefined || (!isFinal(state) && !this.statusCache.isFresh)) {
+    if (state === undefined) {
       return undefined;
     }
     const age = Math.round(this.statusCache.ageMs);
-    return { lookup: Lookup.found, state, source: `status cache, ${age} ms old` };
+    if (isFinal(state) || this.statusCache.isFresh) {
+      return { lookup: Lookup.found, state, source: `status cache, ${age} ms old` };
+    }
+    return age < maxReportedAgeMs[this.outlook.reach]
+      ? { lookup: Lookup.found, state, source: `last reported, ${age} ms old, store out of reach` }
+      : undefined;
   }
 
   private async readState(id: string, deadline: number): Promise<StateResult> {
-    const progress = await this.store.read(StoreKeys.progress(id), this.callDeadline(deadline));
+    const progress = await this.store.read(
+      StoreKeys.progress(id),
+      callDeadline(this.clock, deadline),
+    );
     if (progress.isErr()) {
       return { lookup: Lookup.unknown, source: progress.error.message };
     }
@@ -180,7 +132,7 @@
     if (record !== undefined) {
       return { lookup: Lookup.found, state: record.state, source: 'stored progress' };
     }
-    const job = await this.store.read(StoreKeys.job(id), this.callDeadline(deadline));
+    const job = await this.store.read(StoreKeys.job(id), callDeadline(this.clock, deadline));
     if (job.isErr()) {
       return { lookup: Lookup.unknown, source: job.error.message };
     }
@@ -190,8 +142,12 @@
   }
 
   /** Stores a cancellation of the job. */
-  public async cancel(id: string, deadline: number): Promise<Lookup> {
-    const found = await this.stateOf(id, deadline);
+  public async cancel(
+    id: string,
+    deadline: number,
+    { mayForward }: RequestOptions = fromClient,
+  ): Promise<Lookup> {
+    const found = await this.stateOf(id, deadline, { mayForward });
     if (found.lookup !== Lookup.found) {
       return found.lookup;
     }
@@ -204,29 +160,34 @@
       writes: [{ key, value: '' }],
     };
     for (let call = 0; this.clock.monotonic() < deadline; call += 1) {
-      const result = await this.store.commit(transaction, this.callDeadline(deadline));
+      const forwarded = await this.forward(
+        { operation: ForwardedOperation.cancel, id },
+        deadline,
+        mayForward,
+      );
+      if (forwarded !== undefined && 'cancel' in forwarded && forwarded.cancel !== Lookup.unknown) {
+        return forwarded.cancel;
+      }
+      const result = await this.store.commit(transaction, callDeadline(this.clock, deadline));
       if (result.isOk()) {
         return Lookup.found;
       }
-      await this.backOff(call, deadline);
+      await backOff(this.clock, call, deadline);
     }
     return Lookup.unknown;
   }
 
-  // Exponential back-off that ends at the deadline at the latest.
-  private async backOff(call: number, deadline: number): Promise<void> {
-    const leftMs = Math.max(0, deadline - this.clock.monotonic());
-    await delay(Math.min(firstBackoffMs * 2 ** call, maxBackoffMs, leftMs));
-  }
-
-  private callDeadline(deadline: number): number {
-    return Math.min(deadline, this.clock.monotonic() + StoreTiming.callTimeoutMs);
-  }
-}
-
-function describeCommit(result: Result<CommitResult, CoordinationError>): string {
-  if (result.isErr()) {
-    return result.error.message;
+  /** Result from the scheduling instance while the store is out of reach here only. */
+  private async forward(
+    request: ForwardedRequest,
+    deadline: number,
+    mayForward: boolean,
+  ): Promise<ForwardedResult | undefined> {
+    if (!mayForward || !this.outlook.isOutOfReach || !this.forwarder.isAvailable) {
+      return undefined;
+    }
+    // Both operations are harmless when they are repeated, here or by the scheduling instance.
+    const forwarding = await this.forwarder.forward(request, callDeadline(this.clock, deadline));
+    return forwarding.outcome === ForwardOutcome.answered ? forwarding.result : undefined;
   }
-  return result.value.isCommitted ? `revision ${result.value.revision}` : 'already stored';
 }
--- a/packages/instance/src/JobStatusCache.ts
+++ b/packages/instance/src/JobStatusCache.ts
@@ -22,6 +22,15 @@
   readonly backlogs?: readonly (readonly [priority: number, backlogMs: number])[];
   /** Accelerators of the largest runner; absent or 0 if unknown. */
   readonly largestRunner?: number;
+  /** What the sender can do for the receiver; absent in updates of earlier versions. */
+  readonly service?: HolderService;
+}
+
+/** Ability of the scheduling instance to store something for another instance. */
+export interface HolderService {
+  readonly isStoreReachable: boolean;
+  /** Highest version of the requests that it serves. */
+  readonly requestVersion: number;
 }
 
 /** Age in milliseconds beyond which the cache counts as stale; several update intervals. */
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -29,6 +29,12 @@
   learnedStateNotStored: { code: 731, level: warn, text: 'learned state not read or stored' },
   storedStateNotRead: { code: 732, level: warn, text: 'stored state not read, retrying' },
   requestAnswered: { code: 730, level: info, text: 'request answered' },
+  requestForwarded: {
+    code: 733,
+    level: info,
+    text: 'request forwarded to the scheduling instance',
+  },
+  forwardedRequestServed: { code: 734, level: info, text: 'forwarded request served' },
   runnerUnanswered: { code: 740, level: warn, text: 'runner did not answer' },
   startUnsettled: { code: 742, level: warn, text: 'start call unanswered' },
   clockStepped: { code: 743, level: warn, text: 'clock step or suspension detected' },
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -25,14 +25,16 @@
 import { EvacuationRequests } from './EvacuationRequests.js';
 import { DecisionEvents, JobEvents } from './events.js';
 import { JobStatusCache } from './JobStatusCache.js';
-import { JobService, Lookup, SubmitOutcome } from './JobService.js';
+import { JobService } from './JobService.js';
 import { StoreKeys } from './keys.js';
 import { RecentSet } from './RecentSet.js';
+import { Lookup, SubmitOutcome } from './requestResults.js';
 import { LoadLimit } from './LoadLimit.js';
 import type { RunnerClient } from './RunnerClient.js';
 import type { SchedulingServices } from './Scheduling.js';
 import { Scheduling } from './Scheduling.js';
 import { SuspendAwareClock } from './SuspendAwareClock.js';
+import { fakeOutlook, noForwarder } from './testing/fakeOutlook.js';
 
 const queue = replayQueues.urgent as Queue;
 const specification = createSpecification('00000000000000aa', [plainStep]);
@@ -87,7 +89,7 @@
   }
 }
 
-const isStoreUnavailable = (): boolean => false;
+const reachableStore = fakeOutlook(() => false);
 const committed: Commit = ok({ isCommitted: true, revision: 5 });
 const unanswered: Commit = err(
   new CoordinationError(CoordinationErrorKind.unanswered, 'no response'),
@@ -277,7 +279,13 @@
   const clock = new SystemClock();
   const conflict: Commit = ok({ isCommitted: false, items: [] });
   const store = new ScriptedStore((call) => [unanswered, refused, conflict][call - 1] ?? conflict);
-  const service = new JobService(store, new JobStatusCache(clock), clock, isStoreUnavailable);
+  const service = new JobService(
+    store,
+    new JobStatusCache(clock),
+    clock,
+    reachableStore,
+    noForwarder,
+  );
   const result = await service.submit(specification, queue, clock.monotonic() + 2_000);
   t.is(result.outcome, SubmitOutcome.accepted);
   t.is(store.commits, 3);
@@ -290,7 +298,8 @@
       new ScriptedStore(respond),
       new JobStatusCache(clock),
       clock,
-      isStoreUnavailable,
+      reachableStore,
+      noForwarder,
     );
   const deadline = clock.monotonic() + 200;
   const first = await service(() => refused).submit(specification, queue, deadline);
@@ -309,7 +318,13 @@
 test('a submission is refused immediately while the store is unavailable', async (t) => {
   const clock = new SystemClock();
   const store = new ScriptedStore(() => unanswered);
-  const service = new JobService(store, new JobStatusCache(clock), clock, () => true);
+  const service = new JobService(
+    store,
+    new JobStatusCache(clock),
+    clock,
+    fakeOutlook(() => true),
+    noForwarder,
+  );
   const result = await service.submit(specification, queue, clock.monotonic() + 2_000);
   t.is(result.outcome, SubmitOutcome.refused);
   t.true((result.retryAfterMs ?? 0) > 0);
@@ -320,7 +335,13 @@
   const clock = new SystemClock();
   let isUnavailable = false;
   const store = new ScriptedStore((call) => (call === 1 ? unanswered : refused));
-  const service = new JobService(store, new JobStatusCache(clock), clock, () => isUnavailable);
+  const service = new JobService(
+    store,
+    new JobStatusCache(clock),
+    clock,
+    fakeOutlook(() => isUnavailable),
+    noForwarder,
+  );
   const submit = async (): Promise<SubmitOutcome> =>
     (await service.submit(specification, queue, clock.monotonic() + 60)).outcome;
   t.is(await submit(), SubmitOutcome.unknown);
@@ -355,7 +376,7 @@
       ? err(new CoordinationError(CoordinationErrorKind.unanswered, 'no response'))
       : ok(undefined);
   };
-  const service = new JobService(store, statusCache, clock, isStoreUnavailable);
+  const service = new JobService(store, statusCache, clock, reachableStore, noForwarder);
   const result = await service.submit(specification, queue, clock.monotonic() + 2_000);
   t.is(result.outcome, SubmitOutcome.refused);
   t.is(reads, 3);
@@ -376,7 +397,8 @@
     new ScriptedStore(() => committed),
     statusCache,
     clock,
-    isStoreUnavailable,
+    reachableStore,
+    noForwarder,
   );
   const deadline = clock.monotonic() + 500;
   const result = await empty.submit(specification, queue, deadline);
@@ -386,7 +408,8 @@
     storeWithJob(() => committed),
     statusCache,
     clock,
-    isStoreUnavailable,
+    reachableStore,
+    noForwarder,
   );
   t.is((await stored.submit(specification, queue, deadline)).outcome, SubmitOutcome.accepted);
 });
@@ -399,7 +422,8 @@
     storeWithJob(() => committed),
     statusCache,
     clock,
-    isStoreUnavailable,
+    reachableStore,
+    noForwarder,
   );
   const deadline = clock.monotonic() + 500;
   const found = await service.stateOf(specification.id, deadline);
--- a/packages/instance/src/leaseInDoubt.test.ts
+++ b/packages/instance/src/leaseInDoubt.test.ts
@@ -1,7 +1,3 @@
-import { once } from 'node:events';
-import type { AddressInfo } from 'node:net';
-import { createServer } from 'node:net';
-
 import { delay, Random, SystemClock } from '@apricothoist/common';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
 import { replayBounds, VirtualCoordinationStore } from '@apricothoist/testing';
@@ -13,20 +9,12 @@
 import { JobInstance } from './JobInstance.js';
 import { JobStatusCache } from './JobStatusCache.js';
 import type { RunnerClient } from './RunnerClient.js';
+import { findFreePort } from './testing/findFreePort.js';
 
 const pollMs = 50;
 /** Milliseconds until the test fails; the lease is in doubt after 1.4 s. */
 const timeoutMs = 10_000;
 
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
 class RefusingStore extends VirtualCoordinationStore {
   public isRefusing = false;
 
@@ -53,7 +41,7 @@
     t.timeout(timeoutMs);
     const store = new RefusingStore();
     const clock = new SystemClock();
-    const feedPort = await freePort();
+    const feedPort = await findFreePort();
     const settings = {
       name: 'holder',
       feedHost: '127.0.0.1',
--- /dev/null
+++ b/packages/instance/src/requestResults.ts
@@ -0,0 +1,27 @@
+import type { JobState } from '@apricothoist/dispatch';
+
+export const SubmitOutcome = {
+  accepted: 'accepted',
+  /** Certainly not stored; the client may retry after `retryAfterMs`. */
+  refused: 'refused',
+  /** The job may or may not be stored. */
+  unknown: 'unknown',
+} as const;
+export type SubmitOutcome = (typeof SubmitOutcome)[keyof typeof SubmitOutcome];
+
+export interface SubmitResult {
+  readonly outcome: SubmitOutcome;
+  /** Reason of the outcome, for the log. */
+  readonly reason: string;
+  readonly retryAfterMs?: number;
+}
+
+export const Lookup = { found: 'found', absent: 'absent', unknown: 'unknown' } as const;
+export type Lookup = (typeof Lookup)[keyof typeof Lookup];
+
+export interface StateResult {
+  readonly lookup: Lookup;
+  readonly state?: JobState;
+  /** Source and age of the state, for the log. */
+  readonly source: string;
+}
