A refused submission is not unknown because the outage was noticed just before

Calls now get 30 ms for their own answer. A single refusal no longer counts as proof that others reach the store, so a Retry-After of 0 is never sent for an outage that has just begun.

--- a/packages/instance/src/JobSubmission.ts
+++ b/packages/instance/src/JobSubmission.ts
@@ -20,6 +20,12 @@
 /** Remembered submissions with unknown outcome: several minutes of a store outage at full load. */
 const maxUnknownOutcomes = 1_000;
 
+/**
+ * Milliseconds for which a call is awaited after the store got out of reach: a store that refuses
+ * calls refuses this one too, and then the outcome is certain.
+ */
+const refusalGraceMs = 30;
+
 const storeUnavailable = 'the store is unavailable';
 
 export interface SubmissionRequest {
@@ -186,7 +192,7 @@
       const subscription = this.outlook.onChange((isOutOfReach) => {
         if (isOutOfReach) {
           subscription.dispose();
-          resolve(undefined);
+          setTimeout(resolve, refusalGraceMs, undefined);
         }
       });
       call
--- a/packages/instance/src/StoreReachability.ts
+++ b/packages/instance/src/StoreReachability.ts
@@ -184,8 +184,9 @@
   public isReachedElsewhere(holder: HolderReport | undefined): boolean {
     const since = this.outOfReachSince;
     return (
+      since !== undefined &&
       holder?.isStoreReachable === true &&
-      (since === undefined || holder.receivedAt >= since + maxSilenceMs)
+      holder.receivedAt >= since + maxSilenceMs
     );
   }
 
--- a/packages/instance/src/forwarding.test.ts
+++ b/packages/instance/src/forwarding.test.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@apricothoist/common';
-import { delay, Random } from '@apricothoist/common';
+import { delay, Emitter, Random } from '@apricothoist/common';
 import type { Queue } from '@apricothoist/dispatch';
 import { JobState } from '@apricothoist/dispatch';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
@@ -104,6 +104,8 @@
 
   public isOutOfReach = false;
 
+  public readonly reachChanged = new Emitter<boolean>();
+
   public obstacle: string | undefined;
 
   public frameFate: (typeof frameFates)[number] = 'delivered';
@@ -114,7 +116,7 @@
 
   public constructor() {
     const { clock, requests } = this;
-    const outlook = fakeOutlook(() => this.isOutOfReach);
+    const outlook = fakeOutlook(() => this.isOutOfReach, this.reachChanged.event);
     this.follower = new JobService(
       this.followerStore as unknown as CoordinationStore,
       this.followerCache,
@@ -242,6 +244,18 @@
   t.true(answeredAt < deadline - requestMs / 2);
 });
 
+// Guards against 504 for calls whose refusal arrives just after another one has shown the outage.
+test.serial('a submission that the store refuses as an outage begins is not unknown', async (t) => {
+  using pair = new ForwardingPair();
+  pair.requests.disconnect('test');
+  pair.followerStore.fault = Fault.refused;
+  const submitted = pair.follower.submit(specification, queue, pair.deadline);
+  await pair.pass(1);
+  pair.isOutOfReach = true;
+  pair.reachChanged.fire(true);
+  t.is((await pair.run(submitted)).outcome, SubmitOutcome.refused);
+});
+
 // Guards against a 200 for a cancellation that no store has, and a 410 without a read.
 test.serial('a forwarded cancellation is stored, and an absent job was read', async (t) => {
   using pair = new ForwardingPair();
--- a/packages/instance/src/testing/fakeOutlook.ts
+++ b/packages/instance/src/testing/fakeOutlook.ts
@@ -6,7 +6,10 @@
 import { StoreReach } from '../StoreReachability.js';
 
 /** Outlook that the test decides. */
-export function fakeOutlook(isOutOfReach: () => boolean): StoreOutlook {
+export function fakeOutlook(
+  isOutOfReach: () => boolean,
+  onChange: StoreOutlook['onChange'] = new Emitter<boolean>().event,
+): StoreOutlook {
   return {
     get reach() {
       return isOutOfReach() ? StoreReach.outOfReachHere : StoreReach.reachable;
@@ -14,7 +17,7 @@
     get isOutOfReach() {
       return isOutOfReach();
     },
-    onChange: new Emitter<boolean>().event,
+    onChange,
     settle: () => Promise.resolve(),
     mayEndBefore: () => false,
     retryAfterMs: () => 1_000,
