--- a/packages/instance/src/StoreReachability.ts
+++ b/packages/instance/src/StoreReachability.ts
@@ -51,6 +51,8 @@
 const maxCheckGapMs = 100;
 /** Milliseconds between probes. */
 const probeIntervalMs = 100;
+/** Milliseconds between probes in an outage, which may be an overload. */
+const outageProbeIntervalMs = 250;
 /** Calls that are sufficient evidence of an outage; one silent call is a lost response. */
 const callsOfOutage = 2;
 
@@ -158,7 +160,8 @@
     );
     const isNeeded =
       this.isOutOfReach || (isWaiting && this.evidenceAt(now).length < callsOfOutage);
-    if (!isNeeded || now - this.probedAt < probeIntervalMs) {
+    const intervalMs = this.isOutOfReach ? outageProbeIntervalMs : probeIntervalMs;
+    if (!isNeeded || now - this.probedAt < intervalMs) {
       return false;
     }
     this.probedAt = now;
