--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -7,7 +7,6 @@
 
 import type { JobUpdate } from './FeedUpdateBuffer.js';
 import type { AdviceClient } from './AdviceClient.js';
-import { adviceMetrics } from './adviceMetrics.js';
 import { EvacuationRequests } from './EvacuationRequests.js';
 import { electionDelayMs, LeadershipTransferPolicy } from './ElectionDelay.js';
 import { ConfigurationFollower } from './ConfigurationFollower.js';
@@ -17,6 +16,8 @@
 import { JobEvents } from './events.js';
 import { FeedClient } from './FeedClient.js';
 import { FeedServer } from './FeedServer.js';
+import { ForwardedRequestHandler } from './ForwardedRequestHandler.js';
+import { describeInstance } from './instanceStatus.js';
 import { JobStatusCache } from './JobStatusCache.js';
 import { leaseTimingFor } from './LeaseTiming.js';
 import { LoadLimit } from './LoadLimit.js';
@@ -24,11 +25,11 @@
 import type { MaintenancePlatform } from './MachineClient.js';
 import type { MaintenanceServices } from './MaintenanceServices.js';
 import { createMaintenanceServices } from './MaintenanceServices.js';
-import { idleMaintenanceStatus } from './MaintenanceWaves.js';
 import type { OperatorConfiguration, OperatorKeys } from './OperatorConfiguration.js';
 import type { RunnerClient } from './RunnerClient.js';
 import type { RunnerRegistry } from './Scheduling.js';
 import { Scheduling } from './Scheduling.js';
+import { StoreAccess } from './StoreAccess.js';
 import { StrongestCores } from './StrongestCores.js';
 
 /** Settings of a job instance. */
@@ -91,6 +92,10 @@
 
   private readonly election: Election;
 
+  private readonly storeAccess: StoreAccess;
+
+  private readonly forwardedRequests: ForwardedRequestHandler;
+
   private readonly feedServer: FeedServer;
 
   private readonly feedClient: FeedClient;
@@ -124,18 +129,26 @@
 
   private isStopping = false;
 
-  private isStoreUnavailable = false;
-
   private wasReady = false;
 
   public constructor(
     private readonly settings: InstanceSettings,
     private readonly services: InstanceServices,
   ) {
-    const { store, clock, random } = services;
+    const { clock, random } = services;
+    this.storeAccess = this.disposables.register(
+      new StoreAccess({ ...services, isScheduling: () => this.isScheduling }, this.onError),
+    );
+    const { store, outlook, requests } = this.storeAccess;
     this.transferPolicy = new LeadershipTransferPolicy(settings.cores);
     this.statusCache = new JobStatusCache(clock);
-    this.jobs = new JobService(store, this.statusCache, clock, () => this.isStoreUnavailable);
+    this.jobs = new JobService(store, this.statusCache, clock, outlook, requests);
+    this.forwardedRequests = new ForwardedRequestHandler(
+      this.jobs,
+      clock,
+      () => this.storeAccess.findObstacle(),
+      services.log,
+    );
     this.configurationFollower = this.disposables.register(
       new ConfigurationFollower(
         store,
@@ -150,9 +163,15 @@
     const { maintenance, operatorKeys, log } = services;
     this.maintenance =
       maintenance && createMaintenanceServices(maintenance, operatorKeys.waves, settings.name, log);
-    this.feedServer = this.disposables.register(new FeedServer(this.statusCache, this.onError));
+    this.feedServer = this.disposables.register(
+      new FeedServer(
+        this.statusCache,
+        (request) => this.forwardedRequests.handle(request),
+        this.onError,
+      ),
+    );
     this.feedClient = this.disposables.register(
-      new FeedClient(this.statusCache, clock, settings.cores),
+      new FeedClient(this.statusCache, clock, settings.cores, requests),
     );
     const { name, feedHost, feedPort, cores } = settings;
     this.strongestCores = new StrongestCores(store, clock, this.statusCache);
@@ -193,42 +212,19 @@
   }
 
   public get status(): Readonly<Record<string, number>> {
-    const { ends, overlaps, unsettledStarts, crashes, crashingJobs } = this.counters;
-    const loadCost = this.scheduling?.loadCost;
-    const progress = this.scheduling?.progress;
-    const speedClasses = this.scheduling?.dispatcher.state.speedClasses;
-    const now = this.services.clock.monotonic();
-    return {
-      run_ends_reported: ends.reported,
-      run_ends_refused: ends.refused,
-      run_ends_absent: ends.absent,
-      run_ends_departed: ends.departed,
-      run_ends_lease_expired: ends.leaseExpired,
-      runs_overlapping: overlaps,
-      starts_unsettled: unsettledStarts,
-      runners_crashed: crashes,
-      jobs_given_up: crashingJobs,
-      ...adviceMetrics(this.counters, this.scheduling?.dispatcher.advice.summarize(now)),
-      scheduling: this.isScheduling ? 1 : 0,
-      stored_state_loaded: loadCost === undefined ? 0 : 1,
-      stored_state_load_milliseconds: loadCost?.tookMs ?? 0,
-      stored_state_load_bytes: loadCost?.bytes ?? 0,
-      progress_unstored_jobs: progress?.unstoredJobs ?? 0,
-      starts_waiting_for_store: progress?.waitingStarts.length ?? 0,
-      start_store_wait_milliseconds_max: progress?.maxStartWaitMs ?? 0,
+    return describeInstance({
+      now: this.services.clock.monotonic(),
+      counters: this.counters,
+      isScheduling: this.isScheduling,
+      scheduling: this.scheduling,
       followers: this.feedServer.followers,
-      jobs_known: this.statusCache.size,
-      runner_speed_classes: speedClasses?.levels.length ?? 0,
-      runner_speed_slowest: speedClasses?.levels[0] ?? 0,
-      runner_speed_fastest: speedClasses?.levels.at(-1) ?? 0,
-      data_centres_evacuated: this.evacuations.dataCentres.size,
-      ...(this.scheduling?.maintenance?.status ?? idleMaintenanceStatus),
-      board_age_milliseconds: Math.round(this.statusCache.ageMs),
-      configuration_version: this.configurationFollower.current?.version ?? 0,
-      configuration_age_milliseconds: Math.round(this.configurationFollower.ageMs),
-      configuration_bytes: this.configurationFollower.sizeBytes,
-      log_lines_dropped: this.services.log.droppedLines,
-    };
+      statusCache: this.statusCache,
+      evacuations: this.evacuations,
+      configurationFollower: this.configurationFollower,
+      log: this.services.log,
+      storeAccess: this.storeAccess,
+      forwardedRequests: this.forwardedRequests,
+    });
   }
 
   public async start(): Promise<void> {
@@ -264,7 +260,7 @@
     this.configurationFollower.onUnreadable((message) =>
       log.emit(JobEvents.configurationUnreadable, { message }),
     );
-    this.configurationFollower.onCallEnd((error) => this.recordStoreCall(error?.message));
+    this.storeAccess.monitor.onChange(() => this.reportStoreChange());
     this.election.onTermStart((term) => this.beginScheduling(term));
     this.election.onTermEnd((reason) => this.endScheduling(reason));
     this.election.onDoubtChange((isInDoubt) => {
@@ -290,12 +286,10 @@
     });
   }
 
-  private recordStoreCall(failure: string | undefined): void {
-    const isUnavailable = failure !== undefined;
-    if (isUnavailable !== this.isStoreUnavailable) {
-      this.isStoreUnavailable = isUnavailable;
-      const kind = isUnavailable ? JobEvents.storeUnavailable : JobEvents.storeAvailable;
-      this.services.log.emit(kind, { message: failure });
+  // Followers learn of an outage at once: they forward requests, or refuse them, accordingly.
+  private reportStoreChange(): void {
+    if (this.isScheduling && this.scheduling?.loadCost !== undefined) {
+      this.publish({ isWhole: false, states: [], forgotten: [], queues: [] });
     }
   }
 
@@ -307,6 +301,7 @@
     this.scheduling = new Scheduling(
       {
         ...this.services,
+        store: this.storeAccess.store,
         bounds: this.settings.bounds,
         counters: this.counters,
         evacuations: this.evacuations,
@@ -329,7 +324,8 @@
     const now = this.services.clock.monotonic();
     const inheritedCores = now < this.inheritedCoresUntil ? this.inheritedCores : 0;
     const strongestCores = Math.max(this.settings.cores, followerCores, inheritedCores);
-    const update = { ...jobUpdate, strongestCores };
+    const service = this.storeAccess.describeService();
+    const update = { ...jobUpdate, strongestCores, service };
     this.statusCache.apply(update);
     this.feedServer.open();
     this.feedServer.publish(update);
