--- a/packages/dispatch/src/DelayCost.ts
+++ b/packages/dispatch/src/DelayCost.ts
@@ -32,18 +32,24 @@
  * the objective, a quarter up to `maxLateFactor` times the objective, nothing after that.
  */
 export function expectedValueShare(outlook: JobOutlook, delayMs: number): number {
-  const { objectiveMs, targetMs, remainingMs } = outlook;
-  const spentMs = outlook.waitedMs + delayMs;
-  const inTime = staysWithin(spentMs, objectiveMs, targetMs, remainingMs);
-  const late = staysWithin(
-    spentMs,
-    objectiveMs * maxLateFactor,
-    targetMs * maxLateFactor,
-    remainingMs,
-  );
+  const inTime = inTimeProbability(outlook, delayMs);
+  const late = lateProbability(outlook, delayMs);
   return lateValueShare * late + (1 - lateValueShare) * inTime;
 }
 
+/** Probability that the job meets its objective if it starts `delayMs` from now. */
+export function inTimeProbability(outlook: JobOutlook, delayMs: number): number {
+  const { objectiveMs, targetMs, remainingMs, waitedMs } = outlook;
+  return staysWithin(waitedMs + delayMs, objectiveMs, targetMs, remainingMs);
+}
+
+/** Probability that it then ends while it has any value. */
+export function lateProbability(outlook: JobOutlook, delayMs: number): number {
+  const { objectiveMs, targetMs, remainingMs, waitedMs } = outlook;
+  const limitMs = objectiveMs * maxLateFactor;
+  return staysWithin(waitedMs + delayMs, limitMs, targetMs * maxLateFactor, remainingMs);
+}
+
 /**
  * Value that the caller is expected to lose if the job starts `delayMs` later than now.
  *
--- a/packages/dispatch/src/DispatchRound.ts
+++ b/packages/dispatch/src/DispatchRound.ts
@@ -7,6 +7,7 @@
 import { countFitting } from './Resources.js';
 import type { Placement } from './CapacityLedger.js';
 import { countFittingMembers, isEligible, CapacityLedger } from './CapacityLedger.js';
+import { PreemptionCost } from './PreemptionCost.js';
 import { remainingRunMs } from './RemainingTime.js';
 import { awaitsAdvice, mayBecomeEligible, updatePermits } from './permittedRunners.js';
 import type { Runner } from './Runner.js';
@@ -24,8 +25,6 @@
  */
 const reservationSlackMs = 1_500;
 
-/** Milliseconds of a guarantee's start bound that are reserved for sending commands. */
-const reclaimMarginMs = 700;
 /** Milliseconds between victim searches without result; short against the slack of urgent jobs. */
 const victimSearchRetryMs = 150;
 /** A job whose remaining slack exceeds this share of its objective is deferrable. */
@@ -43,10 +42,6 @@
 const maxLimitedWaitMs = 15_000;
 /** Share of the usable runners that suspects may keep to themselves at the same time. */
 const maxClosedShare = 0.5;
-/** Factor on the work that a guaranteed job may destroy while it is in time: see maxLostWork. */
-const guaranteedLossFactor = 5;
-/** Value of a late job relative to one in time, as the service requirements weight them. */
-const lateLossFactor = 0.25;
 
 /** One scheduling pass over all waiting task groups: placements, starts and preemptions. */
 export class DispatchRound {
@@ -59,6 +54,8 @@
   private readonly remainingRun = (group: TaskGroup): number =>
     remainingRunMs(group, this.state, this.now);
 
+  private readonly preemptionCost: PreemptionCost;
+
   private readonly guaranteedJobs: ReadonlySet<JobRun>;
 
   private readonly usableRunners: readonly Runner[];
@@ -97,6 +94,7 @@
       0,
     );
     updatePermits(state, now);
+    this.preemptionCost = new PreemptionCost(state, now);
     this.startReserved();
     const openRunners = this.usableRunners.filter(({ closedUntil }) => closedUntil <= now);
     const closedCount = this.usableRunners.length - openRunners.length;
@@ -219,15 +217,14 @@
   }
 
   private reclaim(group: TaskGroup, rank: JobRank): boolean {
-    const maxCost = this.maxLostWork(rank);
     if (this.now < group.nextVictimSearchAt) {
       return false;
     }
     const search = new VictimSearch(
       this.ledger,
-      this.now,
       (victim) => this.mayPreempt(victim, rank),
-      maxCost,
+      (victim) => this.preemptionCost.of(victim),
+      this.preemptionCost.maxCostFor(rank),
       this.speedRequirement.of(group),
       this.remainingRun,
     );
@@ -262,21 +259,6 @@
     this.lifecycle.abort(victim, 'reclaimed', this.now);
   }
 
-  // Most unsaved work in core-seconds that may be destroyed for the job. It is unlimited once the
-  // bound of a guarantee is near. Before that, a guaranteed job that can still meet its objective
-  // may destroy more than others: it would preempt the same work later anyway, but miss its
-  // objective. For a late job a quarter of the loss is justified, in proportion to its value.
-  private maxLostWork(rank: JobRank): number {
-    const { bounds, policy } = this.state;
-    const preemptAfterMs = bounds.reclaimMs - bounds.stopMs - reclaimMarginMs;
-    if (rank.isGuaranteed && this.now - rank.job.arrivedAt >= preemptAfterMs) {
-      return Infinity;
-    }
-    const inTimeFactor = rank.isGuaranteed ? guaranteedLossFactor : 1;
-    const factor = rank.objectiveStatus === ObjectiveStatus.inTime ? inTimeFactor : lateLossFactor;
-    return factor * (policy.lostWorkBase + policy.lostWorkRatio * rank.work);
-  }
-
   // Guaranteed jobs may preempt every job without a guarantee; other urgent jobs only preempt
   // queues of lower priority.
   private mayPreempt(victim: TaskGroup, rank: JobRank): boolean {
--- a/packages/dispatch/src/VictimSearch.ts
+++ b/packages/dispatch/src/VictimSearch.ts
@@ -1,5 +1,3 @@
-import { msPerSecond } from '@apricothoist/common';
-
 import type { Placement, CapacityLedger, RunnerCapacity } from './CapacityLedger.js';
 import { countFittingMembers, isEligible } from './CapacityLedger.js';
 import type { RemainingRun } from './RemainingTime.js';
@@ -28,18 +26,6 @@
   readonly cost: number;
 }
 
-/** Cost in core-seconds per core of restarting a stopped task group, on top of its unsaved work. */
-const restartCostSeconds = 0.5;
-
-/**
- * Core-seconds that are lost if the task group is stopped now. Steps that save their progress on a
- * stop lose only the restart cost.
- */
-export function unsavedWork(group: TaskGroup, now: number): number {
-  const ranMs = group.startedAt === 0 || group.step.savesProgress ? 0 : now - group.startedAt;
-  return group.cores * (Math.max(0, ranMs) / msPerSecond + restartCostSeconds);
-}
-
 /**
  * Selects the running task groups to preempt for an urgent one, within the set of runners (one
  * rack, or all) where the least work is lost.
@@ -53,9 +39,10 @@
 export class VictimSearch {
   public constructor(
     private readonly ledger: CapacityLedger,
-    private readonly now: number,
     /** Whether `victim` may be preempted for the task group. */
     private readonly mayPreempt: (victim: TaskGroup) => boolean,
+    /** Cost of stopping a task group in core-seconds. */
+    private readonly costOf: (victim: TaskGroup) => number,
     /** Maximum total cost of the victims in core-seconds. */
     private readonly maxCost: number,
     /** Speed of the runners that are searched first. */
@@ -195,7 +182,7 @@
         }
         return true;
       });
-    const cost = needed.reduce((sum, victim) => sum + unsavedWork(victim, this.now), 0);
+    const cost = needed.reduce((sum, victim) => sum + this.costOf(victim), 0);
     return { runnerId: runner.id, victims: needed, cost };
   }
 
@@ -209,7 +196,7 @@
       }
     });
     const costPerCore = (group: TaskGroup): number =>
-      unsavedWork(group, this.now) / Math.max(1, coresOf(resourcesOn(group, runner.id)));
+      this.costOf(group) / Math.max(1, coresOf(resourcesOn(group, runner.id)));
     // Of victims that cost the same, the one that would occupy its capacity longest is stopped.
     return [...groups].sort(
       (left, right) =>
