--- a/packages/dispatch/src/lifecycle.test.ts
+++ b/packages/dispatch/src/lifecycle.test.ts
@@ -266,6 +266,32 @@
   t.true((fixture.dispatcher.state.runners.get('r1')?.quarantinedUntil ?? 0) > fixture.now);
 });
 
+// Wide gangs at 80 % were stopped on runners that hung for less time than their work takes to repeat.
+test('a stalled run goes on until waiting has cost as much as repeating its unsaved work', (t) => {
+  const unsaved = { ...fixtureStep, savesProgress: false };
+  const fixture = new DispatchFixture([unsaved]);
+  fixture.start();
+  const report = (percent: number): number => {
+    fixture.now += 400;
+    fixture.report('r1', [{ ...runningTask(0), percent }]);
+    fixture.report('r2', [{ ...runningTask(1), percent: 100 }]);
+    fixture.dispatcher.recordLeaseExtension('r1', fixture.now);
+    fixture.dispatcher.recordLeaseExtension('r2', fixture.now);
+    return fixture.step().stops.length;
+  };
+  for (let round = 0; round < 15; round += 1) {
+    t.is(report(round), 0);
+  }
+  const stalledAt = fixture.now;
+  let stops = 0;
+  while (stops === 0 && fixture.now < stalledAt + 20_000) {
+    stops = report(14);
+  }
+  const stalledMs = fixture.now - stalledAt;
+  t.true(stalledMs >= 5_600 && stalledMs <= 7_500, `${stalledMs} ms`);
+  t.true((fixture.dispatcher.state.runners.get('r1')?.quarantinedUntil ?? 0) > 0);
+});
+
 test('a gang member at 100 % may wait for the others', (t) => {
   const fixture = new DispatchFixture();
   fixture.start();
--- a/packages/instance/src/JobSubmission.ts
+++ b/packages/instance/src/JobSubmission.ts
@@ -131,9 +131,15 @@
     if (result.outcome === SubmitOutcome.unknown) {
       this.unknownOutcomes.add(id);
     }
-    // A write from here may still take effect after the scheduling instance has found no job.
-    return result.outcome === SubmitOutcome.refused && this.unknownOutcomes.has(id)
-      ? { outcome: SubmitOutcome.unknown, reason: result.reason }
+    // A write from here may still take effect after the scheduling instance has found no job. A
+    // client that repeats its request at once would use up its attempts within the outage.
+    const isUnknown = result.outcome !== SubmitOutcome.accepted && this.unknownOutcomes.has(id);
+    return isUnknown
+      ? {
+          outcome: SubmitOutcome.unknown,
+          reason: result.reason,
+          retryAfterMs: this.outlook.retryAfterMs(),
+        }
       : result;
   }
 
--- a/packages/instance/src/forwarding.test.ts
+++ b/packages/instance/src/forwarding.test.ts
@@ -254,7 +254,9 @@
     answeredAt = pair.clock.monotonic();
     return result;
   });
-  t.is((await pair.run(submitted)).outcome, SubmitOutcome.unknown);
+  const result = await pair.run(submitted);
+  t.is(result.outcome, SubmitOutcome.unknown);
+  t.true((result.retryAfterMs ?? 0) > 0, 'a repetition at once would meet the same outage');
   t.true(answeredAt < deadline - requestMs / 2);
 });
 
--- a/packages/instance/src/requestResults.ts
+++ b/packages/instance/src/requestResults.ts
@@ -13,6 +13,7 @@
   readonly outcome: SubmitOutcome;
   /** Reason of the outcome, for the log. */
   readonly reason: string;
+  /** Also of an unknown outcome in an outage: when the same job may be submitted again. */
   readonly retryAfterMs?: number;
 }
 
