--- a/packages/dispatch/src/DispatchOrder.ts
+++ b/packages/dispatch/src/DispatchOrder.ts
@@ -1,7 +1,6 @@
 import { msPerSecond } from '@apricothoist/common';
 
 import type { JobOutlook } from './DelayCost.js';
-import { expectedValueShare } from './DelayCost.js';
 import type { DurationEstimates } from './DurationEstimates.js';
 import { resourcesOf } from './Job.js';
 import type { JobRun } from './JobRun.js';
@@ -110,9 +109,8 @@
  * Computes the rank of a waiting job.
  *
  * Load pattern: more work than capacity for many seconds. Urgent jobs covered by a guarantee come
- * first, then other urgent jobs; within each class, what is expected to be earned for its remaining
- * work. A job that is probably late gives way to one that is probably not. The score grows with the
- * waiting time, so that large jobs do not starve.
+ * first, then other urgent jobs. The rest is ordered by objective status, then by value per unit of
+ * remaining work. The score grows with the waiting time, so that large jobs do not starve.
  */
 export function rankJob(
   job: JobRun,
@@ -141,9 +139,7 @@
     work,
     outlook,
     score:
-      (priorityValueRatio ** -job.queue.priority *
-        (1 + waitedMs / objective) *
-        expectedValueShare(outlook, 0)) /
+      (priorityValueRatio ** -job.queue.priority * (1 + waitedMs / objective)) /
       Math.max(minScoredWork, work),
   };
 }
@@ -160,6 +156,7 @@
   return (
     Number(right.isGuaranteed) - Number(left.isGuaranteed) ||
     Number(right.isUrgent) - Number(left.isUrgent) ||
+    left.objectiveStatus - right.objectiveStatus ||
     right.score - left.score
   );
 }
