--- a/packages/bench/src/dispatch/UsageLedger.ts
+++ b/packages/bench/src/dispatch/UsageLedger.ts
@@ -26,7 +26,7 @@
   readonly isWorthless: boolean;
 }
 
-/** Milliseconds below which a preempted run counts as young: it was started in vain. */
+/** Milliseconds below which a preempted run counts as young: its start gained nothing. */
 export const youngRunMs = 250;
 const msPerSecond = 1_000;
 
--- a/packages/dispatch/src/RunnerSpeed.test.ts
+++ b/packages/dispatch/src/RunnerSpeed.test.ts
@@ -68,7 +68,7 @@
   }
 });
 
-test('speeds of 0.55 and 1.2 are told apart after about six samples of each runner', (t) => {
+test('runners at 0.55 and 1.2 of the mean speed form two classes after six samples each', (t) => {
   for (let seed = 1; seed <= 20; seed += 1) {
     const runners = createRunners(uneven);
     const random = new Random(seed);
