--- a/review/stand-ins/Deployment.mjs
+++ b/review/stand-ins/Deployment.mjs
@@ -1,8 +1,10 @@
 import { spawn } from 'node:child_process';
 import { createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import { setTimeout } from 'node:timers';
 import { fileURLToPath, URL } from 'node:url';
 
 import { call, delay } from './http.mjs';
@@ -10,9 +12,8 @@
 import { Store } from './Store.mjs';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
-const frontPort = 8_521;
-const readyPort = 8_523;
-const firstInternalPort = 7_000;
+/** A case may run for 120 s at most. */
+const maxCaseMs = 118_000;
 const startTimeoutMs = 20_000;
 const pollMs = 20;
 
@@ -59,12 +60,35 @@
 
 export const key = 'key-of-the-account';
 
+/** Ports that are free at an address; all are held until the last one is found. */
+async function findFreePorts(host, count) {
+  const servers = Array.from({ length: count }, () => createServer());
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise((resolve) => {
+          server.listen(0, host, resolve);
+        }),
+    ),
+  );
+  const ports = servers.map((server) => server.address().port);
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise((resolve) => {
+          server.close(resolve);
+        }),
+    ),
+  );
+  return ports;
+}
+
 async function waitUntilReady(instance) {
   const deadline = Date.now() + startTimeoutMs;
   for (;;) {
     const { status } = await call({
       host: instance.host,
-      port: readyPort,
+      port: instance.readyPort,
       method: 'GET',
       path: '/ready',
       timeoutMs: 500,
@@ -137,6 +161,7 @@
   async addInstance(name, zone, zones, settings = {}) {
     const view = await this.store.addView(name);
     const host = `${this.subnet}.${this.instances.length + 1}`;
+    const [frontPort, readyPort, internalPort] = await findFreePorts(host, 3);
     const fields = {
       node: name,
       role: 'entry',
@@ -148,7 +173,7 @@
       ...Object.fromEntries(zones.map((each) => [`zones.${each}`, 'region'])),
       'listen.front': `${host}:${frontPort}`,
       'listen.ready': `${host}:${readyPort}`,
-      internalPorts: `${firstInternalPort},${firstInternalPort + 15}`,
+      internalPorts: `${internalPort},${internalPort}`,
       bootstrap: true,
       countsAsLoss: false,
       'limits.cpuShare': 0.675,
@@ -176,7 +201,7 @@
     const file = path.join(this.folder, `${name}.conf`);
     const text = Object.entries(fields).map(([field, value]) => `${field}=${value}`);
     writeFileSync(file, `${text.join('\n')}\n`);
-    const instance = { name, host, view, file, child: undefined, exits: 0, isWanted: true };
+    const instance = { name, host, frontPort, readyPort, view, file, child: undefined, exits: 0 };
     this.instances.push(instance);
     this.spawn(instance);
     await waitUntilReady(instance);
@@ -225,7 +250,7 @@
   async request(instance, method, target, body, { host = 'jobs.example', apiKey = key } = {}) {
     const answer = await call({
       host: instance.host,
-      port: frontPort,
+      port: instance.frontPort,
       method,
       path: target,
       body,
@@ -279,8 +304,11 @@
   const deployment = new Deployment(path.dirname(fileURLToPath(caseUrl)), options);
   const isTroubled = process.env.TROUBLE !== '0';
   let verdict = Verdict.notRun;
+  const timeout = new Promise((resolve, reject) => {
+    setTimeout(() => reject(new Error('the case took too long')), maxCaseMs).unref();
+  });
   try {
-    const broken = await play(deployment, isTroubled);
+    const broken = await Promise.race([play(deployment, isTroubled), timeout]);
     broken.forEach((line) => deployment.record(`BROKEN ${line}`));
     broken.forEach((line) => process.stdout.write(`BROKEN ${line}\n`));
     verdict = broken.length > 0 ? Verdict.broken : Verdict.held;
