--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -7,10 +7,12 @@
 const id = '5c0e7a21d94b36f8';
 /** Length of the task, which is at work well beyond the cut. */
 const durationMs = 12_500;
+/** Of which one is emptied and taken away. */
+const runnerCount = 16;
 const drainAtMs = 5_000;
 /** The cut comes shortly before the runner's next heartbeat, which follows the drain by 1,500 ms. */
 const cutAfterDrainMs = 1_350;
-const cutMs = 5_500;
+const cutMs = 5_400;
 /** The runner stays for many seconds after the drain, until its task has ended. */
 const leaveAfterMs = 16_000;
 /** As on the sheet of the deployment, whose machines have links of 7 to 140 Mbit/s. */
@@ -56,18 +58,19 @@
     services: [{ name: 'workers', admissionCheck: true }],
   });
   const runners = [];
-  for (const [index, zone] of ['zone-a', 'zone-b', 'zone-b'].entries()) {
+  for (let index = 0; index < runnerCount; index += 1) {
     runners.push(
       await deployment.addRunner({
         id: `runner-${index}`,
         service: 'workers',
-        zone,
+        zone: zones[index % zones.length],
         labels: ['kind', `rack-${index}`],
         capacity,
       }),
     );
   }
   const [leaving] = runners;
+  const cutOff = runners.filter(({ zone }) => zone === 'zone-a');
   // The first instance becomes the holder; it is in the zone that is cut off.
   const inZone = await deployment.addInstance('front-a-1', 'zone-a', zones);
   await deployment.waitForHolder();
@@ -86,18 +89,22 @@
   await delay(cutAfterDrainMs);
   if (isTroubled) {
     record('zone-a is cut off: new connections across its border are refused');
-    leaving.hasRegistry = false;
-    // Only the holder in the zone has connections to the runner; inside the zone they stay.
-    leaving.refuseNewConnections();
+    // Only the holder in the zone has connections to its runners; inside the zone they stay.
+    cutOff.forEach((runner) => {
+      runner.hasRegistry = false;
+      runner.refuseNewConnections();
+    });
     await inZone.view.refuse();
   }
   await delay(cutMs);
   if (isTroubled) {
     record('zone-a is connected again');
     await inZone.view.restore();
-    await leaving.openListener();
-    leaving.hasRegistry = true;
-    leaving.beat();
+    for (const runner of cutOff) {
+      await runner.openListener();
+      runner.hasRegistry = true;
+      runner.beat();
+    }
   }
   await delay(submittedAt + leaveAfterMs - Date.now());
   leaving.leave();
