Review: checks, claims and ends of the cases made stricter

Case 1: a task of 11 s, as on the sheet. A case that fails by itself exits with 2 and leaves no process and no folder.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -6,15 +6,15 @@
 const prefix = '/jobs/';
 const id = '5c0e7a21d94b36f8';
 /** Length of the task, which is at work well beyond the cut. */
-const durationMs = 12_500;
+const durationMs = 11_000;
 /** Of which one is emptied and taken away. */
 const runnerCount = 16;
-const drainAtMs = 5_000;
+const drainAtMs = 3_500;
 /** The cut comes shortly before the runner's next heartbeat, which follows the drain by 1,500 ms. */
 const cutAfterDrainMs = 1_350;
 const cutMs = 5_400;
 /** The runner stays for many seconds after the drain, until its task has ended. */
-const leaveAfterMs = 16_000;
+const leaveAfterMs = 14_000;
 /** As on the sheet of the deployment, whose machines have links of 7 to 140 Mbit/s. */
 const linkMbps = 14;
 const bounds = {
@@ -81,7 +81,7 @@
   await deployment.request(outside, 'POST', `${prefix}${id}`, {
     spec: JSON.stringify({ durationMs, gpus: 8 }),
     phases: [
-      { count: 1, cpu: 4_000, memMb: 1_024, gpus: 8, estimateMs: 12_000, affinity: 'rack-0' },
+      { count: 1, cpu: 4_000, memMb: 1_024, gpus: 8, estimateMs: 11_000, affinity: 'rack-0' },
     ],
   });
   await delay(submittedAt + drainAtMs - Date.now());
--- a/review/stand-ins/Deployment.mjs
+++ b/review/stand-ins/Deployment.mjs
@@ -126,7 +126,12 @@
     this.record = (text) => {
       this.lines.push(`${String(Date.now() - this.startedAt).padStart(7)} ms  ${text}`);
     };
-    this.stopAll = () => this.instances.forEach(({ child }) => child?.kill('SIGKILL'));
+    this.stopAll = () => {
+      this.instances.forEach(({ child }) => child?.kill('SIGKILL'));
+      if (process.env.KEEP_LOGS === undefined) {
+        rmSync(this.folder, { recursive: true, force: true });
+      }
+    };
     process.once('exit', this.stopAll);
     ['SIGINT', 'SIGTERM'].forEach((name) => process.once(name, () => process.exit(Verdict.notRun)));
   }
@@ -247,13 +252,20 @@
   }
 
   /** A client's request to an instance. */
-  async request(instance, method, target, body, { host = 'jobs.example', apiKey = key } = {}) {
+  async request(
+    instance,
+    method,
+    target,
+    body,
+    { host = 'jobs.example', apiKey = key, timeoutMs } = {},
+  ) {
     const answer = await call({
       host: instance.host,
       port: instance.frontPort,
       method,
       path: target,
       body,
+      timeoutMs,
       headers: {
         host,
         authorization: `Token ${apiKey}`,
@@ -273,6 +285,10 @@
       .sort((left, right) => left.startedAt - right.startedAt);
   }
 
+  writeRecord() {
+    writeFileSync(path.join(this.caseFolder, 'record.txt'), `${this.lines.join('\n')}\n`);
+  }
+
   async close() {
     this.instances.forEach(({ child }) => {
       child.kill('SIGCONT');
@@ -287,7 +303,7 @@
     }
     this.runners.forEach((runner) => runner.crash('end of the case'));
     await this.store.close();
-    writeFileSync(path.join(this.caseFolder, 'record.txt'), `${this.lines.join('\n')}\n`);
+    this.writeRecord();
     if (process.env.KEEP_LOGS === undefined) {
       rmSync(this.folder, { recursive: true, force: true });
     } else {
@@ -303,6 +319,14 @@
 export async function runCase(caseUrl, options, play) {
   const deployment = new Deployment(path.dirname(fileURLToPath(caseUrl)), options);
   const isTroubled = process.env.TROUBLE !== '0';
+  // Neither a fault of the case itself nor its end by a signal may look like a broken rule.
+  ['uncaughtException', 'unhandledRejection'].forEach((name) =>
+    process.on(name, (error) => {
+      deployment.record(`the case could not run: ${error?.stack ?? error}`);
+      deployment.writeRecord();
+      process.exit(Verdict.notRun);
+    }),
+  );
   let verdict = Verdict.notRun;
   const timeout = new Promise((resolve, reject) => {
     setTimeout(() => reject(new Error('the case took too long')), maxCaseMs).unref();
