Removal of a runner: log what its departure rests on

The log named the evidence (departed) but not the observations behind it, so that two causes could not be told apart: a runner that really closed its connection when it was last listed, and a holder that had not seen the connection before.

--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -80,6 +80,9 @@
    */
   public disconnectedAt: number | undefined;
 
+  /** Monotonic time of the first listing of this scheduling instance that contains the runner. */
+  public knownSince = -Infinity;
+
   /** Monotonic time at which the latest listing that contains the runner was requested. */
   public listedAt = -Infinity;
 
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -43,7 +43,15 @@
     const { hasDeparted } = runner;
     if (hasDeparted || now - since >= unlistedGraceMs) {
       runner.isListed = false;
-      this.state.log.decide('runnerUnlisted', { runner: runner.id, hasDeparted });
+      this.state.log.decide('runnerUnlisted', {
+        runner: runner.id,
+        hasDeparted,
+        isLeaving: runner.isLeaving,
+        disconnectedMs:
+          runner.disconnectedAt === undefined ? undefined : Math.round(now - runner.disconnectedAt),
+        listedMs: Math.round(now - runner.listedAt),
+        knownMs: Math.round(now - runner.knownSince),
+      });
     }
     if (hasDeparted) {
       this.reportHandler.endDepartedRuns(runner, now);
@@ -87,6 +95,7 @@
 
   private createRunner(entry: ListedRunner, requestedAt: number): Runner {
     const runner = new Runner(entry);
+    runner.knownSince = requestedAt;
     runner.listedAt = requestedAt;
     const key = incarnationKey(entry.id, entry.processStartedAt);
     const inheritedSpeed = this.state.inheritedSpeeds.get(key);
