A departure is proven by a registry entry that is gone before it can have expired

Cause: an entry that vanished within 1.5 s of a closed connection and the last listing counted as removed by its runner. The rule was as wrong at a holder that had led all along, with connections refused 2.7 s after the last write, and for an entry that another writer had overwritten.

Change: the registry loses an entry when its runner leaves, or three heartbeats after its last write. An entry that is gone earlier was removed by its runner. The last write is dated from below by the revision of the entry and the revisions of the store in answers to earlier requests (RevisionTimes), the removal from above by the arrival of the first listing without it. Both hold at a holder that has led for an hour and at one that took over a moment ago; without an answer that dates the write there is no proof. Entries that cannot be read are no longer told as missing. The incarnation 0 (unknown) does not count as drained any more.

Why not a longer window: it moves with the takeover and the order of two cuts.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -15,13 +15,13 @@
 import type { Account, JobSpecification, Queue } from './Job.js';
 import { JobState } from './Job.js';
 import { JobRun } from './JobRun.js';
+import type { ListedRunner } from './ListedRunner.js';
 import type { StoredProgress } from './ProgressRecord.js';
 import type { RunnerReport } from './ReportHandler.js';
 import { ReportHandler } from './ReportHandler.js';
 import { ProgressRestorer } from './ProgressRestorer.js';
 import { remainingRunMs } from './RemainingTime.js';
 import { vacateDrainingRunners } from './drainingRunners.js';
-import type { ListedRunner } from './Runner.js';
 import { extendLease, occupantKey } from './Runner.js';
 import type { RunCounters } from './RunCounters.js';
 import { isLastingCapacity, sendRestriction } from './RunnerAvailability.js';
@@ -160,14 +160,19 @@
     }
   }
 
-  /** Applies the latest complete listing of the registry. */
+  /**
+   * Applies the latest complete listing of the registry.
+   *
+   * @param unreadableIds runners whose entries the registry contains but that cannot be read
+   */
   public updateRunners(
     listed: readonly ListedRunner[],
     now: number,
     requestedAt: number = now,
+    unreadableIds: ReadonlySet<string> = new Set(),
   ): void {
     this.state.listingRequestedAt = Math.max(this.state.listingRequestedAt, requestedAt);
-    this.listing.apply(listed, requestedAt, now);
+    this.listing.apply(listed, unreadableIds, requestedAt, now);
     this.isRoundDue = true;
   }
 
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -1,4 +1,5 @@
 import type { DispatchBounds } from './DispatchState.js';
+import type { ListedRunner } from './ListedRunner.js';
 import type { Resources } from './Resources.js';
 import { add, clampToZero, noResources, subtract } from './Resources.js';
 import { RunnerSpeed } from './RunnerSpeed.js';
@@ -6,23 +7,6 @@
 import type { Member, TaskGroup } from './TaskGroup.js';
 import { MemberState, TaskGroupPhase } from './TaskGroup.js';
 
-/** A runner as the registry lists it. */
-export interface ListedRunner {
-  readonly id: string;
-  /** `host:port` */
-  readonly address: string;
-  readonly service: string;
-  readonly dataCentre: string;
-  readonly rack: string;
-  readonly labels: readonly string[];
-  readonly capacity: Resources;
-  readonly isDraining: boolean;
-  /** Minimum time in milliseconds that a draining runner stays; absent if not announced. */
-  readonly minRemainingMs?: number;
-  /** Start of the runner process, Unix milliseconds; 0: unknown. */
-  readonly processStartedAt: number;
-}
-
 /** A task that runs on a runner, or that a start command may still start there. */
 export interface Occupant {
   readonly group: TaskGroup;
@@ -30,12 +14,6 @@
   readonly run: number;
 }
 
-/**
- * Milliseconds between the last listing of a departing runner and its closed connection, at most: two
- * listings. An expired entry is that of a runner that was silent for three heartbeats, 4.5 s.
- */
-const departureWindowMs = 1_500;
-
 /** State of a runner as known to this scheduling instance. */
 export class Runner {
   private readonly tasks = new Map<string, Occupant>();
@@ -80,11 +58,8 @@
    */
   public disconnectedAt: number | undefined;
 
-  /** Monotonic time of the first listing of this scheduling instance that contains the runner. */
-  public knownSince = -Infinity;
-
-  /** Monotonic time at which the latest listing that contains the runner was requested. */
-  public listedAt = -Infinity;
+  /** Monotonic time after which its registry entry was last written; -Infinity if unknown. */
+  public entryWrittenAfter = -Infinity;
 
   /** Steady time after which no run with a lease granted so far can still run. */
   public leaseEnd = 0;
@@ -104,8 +79,8 @@
   /** Whether the registry lists the runner. */
   public isListed = true;
 
-  /** Incarnation that was seen draining: its end is a planned one. */
-  public drainedIncarnation = 0;
+  /** Incarnation that was seen draining: its end is a planned one; undefined if there is none. */
+  public drainedIncarnation: number | undefined;
 
   /** Monotonic time from which a draining runner may be gone; Infinity while it stays. */
   public departsAt = Infinity;
@@ -126,20 +101,6 @@
     return this.isDraining || this.drainedIncarnation === this.listed.processStartedAt;
   }
 
-  /**
-   * Whether its process has ended as announced, given that a listing no longer contains it: it was
-   * draining and closed a connection when it was last listed. An entry that expires because the runner
-   * cannot reach the registry vanishes seconds later, and a runner that is cut off closes nothing.
-   */
-  public get hasDeparted(): boolean {
-    const { disconnectedAt, listedAt } = this;
-    return (
-      this.isLeaving &&
-      disconnectedAt !== undefined &&
-      Math.abs(disconnectedAt - listedAt) <= departureWindowMs
-    );
-  }
-
   public get isDraining(): boolean {
     return this.listed.isDraining;
   }
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -1,7 +1,8 @@
+import { hasDeparted } from './departure.js';
 import type { DispatchState } from './DispatchState.js';
 import { incarnationKey } from './LearnedState.js';
+import type { ListedRunner } from './ListedRunner.js';
 import type { ReportHandler } from './ReportHandler.js';
-import type { ListedRunner } from './Runner.js';
 import { Runner } from './Runner.js';
 import { updateSpeedClasses } from './SpeedClasses.js';
 
@@ -11,59 +12,88 @@
  */
 const unlistedGraceMs = 2_000;
 
+/** How long the listings have lacked an entry; monotonic times. */
+interface Absence {
+  /** First listing without a readable entry. */
+  readonly since: number;
+  /** First listing without any entry; Infinity while an unreadable one is left. */
+  removedBefore: number;
+}
+
 /** Applies the listings of the registry to the state. */
 export class RunnerListing {
-  private readonly missingSince = new Map<string, number>();
+  private readonly absences = new Map<string, Absence>();
 
   public constructor(
     private readonly state: DispatchState,
     private readonly reportHandler: ReportHandler,
   ) {}
 
-  /** Applies a complete listing that was requested at `requestedAt`. */
-  public apply(listed: readonly ListedRunner[], requestedAt: number, now: number): void {
+  /**
+   * Applies a complete listing that was requested at `requestedAt`.
+   *
+   * @param unreadableIds runners whose entries cannot be read; they are not used, and have not left
+   */
+  public apply(
+    listed: readonly ListedRunner[],
+    unreadableIds: ReadonlySet<string>,
+    requestedAt: number,
+    now: number,
+  ): void {
     const ids = new Set(listed.map((entry) => entry.id));
     listed.forEach((entry) => this.applyEntry(entry, requestedAt, now));
-    this.missingSince.forEach((_since, id) => {
+    this.absences.forEach((_absence, id) => {
       if (!this.state.runners.has(id)) {
-        this.missingSince.delete(id);
+        this.absences.delete(id);
       }
     });
     this.state.runners.forEach((runner) => {
       if (!ids.has(runner.id) && runner.isListed) {
-        this.recordMissing(runner, now);
+        this.recordMissing(runner, unreadableIds.has(runner.id), now);
       }
     });
     updateSpeedClasses(this.state);
   }
 
-  private recordMissing(runner: Runner, now: number): void {
-    const since = this.missingSince.get(runner.id) ?? now;
-    this.missingSince.set(runner.id, since);
-    const { hasDeparted } = runner;
-    if (hasDeparted || now - since >= unlistedGraceMs) {
+  private recordMissing(runner: Runner, isUnreadable: boolean, now: number): void {
+    const absence = this.absences.get(runner.id) ?? { since: now, removedBefore: Infinity };
+    this.absences.set(runner.id, absence);
+    if (!isUnreadable) {
+      absence.removedBefore = Math.min(absence.removedBefore, now);
+    }
+    const isDeparted = hasDeparted(runner, absence.removedBefore, this.state.bounds);
+    if (isDeparted || now - absence.since >= unlistedGraceMs) {
       runner.isListed = false;
-      this.state.log.decide('runnerUnlisted', {
-        runner: runner.id,
-        hasDeparted,
-        isLeaving: runner.isLeaving,
-        disconnectedMs:
-          runner.disconnectedAt === undefined ? undefined : Math.round(now - runner.disconnectedAt),
-        listedMs: Math.round(now - runner.listedAt),
-        knownMs: Math.round(now - runner.knownSince),
-      });
+      this.logMissing(runner, absence, isDeparted, now);
     }
-    if (hasDeparted) {
+    if (isDeparted) {
       this.reportHandler.endDepartedRuns(runner, now);
     }
   }
 
+  private logMissing(
+    runner: Runner,
+    { removedBefore }: Absence,
+    isDeparted: boolean,
+    now: number,
+  ): void {
+    const { disconnectedAt, entryWrittenAfter } = runner;
+    this.state.log.decide('runnerUnlisted', {
+      runner: runner.id,
+      hasDeparted: isDeparted,
+      isLeaving: runner.isLeaving,
+      isUnreadable: removedBefore === Infinity,
+      entryAgeMs: roundedAge(entryWrittenAfter, removedBefore),
+      disconnectedMs: roundedAge(disconnectedAt, now),
+    });
+  }
+
   private applyEntry(entry: ListedRunner, requestedAt: number, now: number): void {
     const { log, runners } = this.state;
-    this.missingSince.delete(entry.id);
+    this.absences.delete(entry.id);
     const known = runners.get(entry.id);
     if (known === undefined) {
-      runners.set(entry.id, this.createRunner(entry, requestedAt));
+      runners.set(entry.id, this.createRunner(entry));
       log.decide('runnerListed', {
         runner: entry.id,
         rack: entry.rack,
@@ -86,17 +116,16 @@
       known.departsAt = Infinity;
     }
     known.isListed = true;
-    known.listedAt = Math.max(known.listedAt, requestedAt);
+    recordWrite(known, entry);
     if (entry.processStartedAt >= knownStartedAt) {
       known.listed = entry;
       known.isEntryOutdated = false;
     }
   }
 
-  private createRunner(entry: ListedRunner, requestedAt: number): Runner {
+  private createRunner(entry: ListedRunner): Runner {
     const runner = new Runner(entry);
-    runner.knownSince = requestedAt;
-    runner.listedAt = requestedAt;
+    recordWrite(runner, entry);
     const key = incarnationKey(entry.id, entry.processStartedAt);
     const inheritedSpeed = this.state.inheritedSpeeds.get(key);
     if (inheritedSpeed !== undefined) {
@@ -106,3 +135,13 @@
     return runner;
   }
 }
+
+function recordWrite(runner: Runner, { writtenAfter = -Infinity }: ListedRunner): void {
+  runner.entryWrittenAfter = Math.max(runner.entryWrittenAfter, writtenAfter);
+}
+
+/** Whole milliseconds from one monotonic time to another; undefined if one of them is not known. */
+function roundedAge(from: number | undefined, to: number): number | undefined {
+  const ageMs = from === undefined ? Infinity : Math.round(to - from);
+  return Number.isFinite(ageMs) ? ageMs : undefined;
+}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -34,7 +34,8 @@
 } from './MaintenancePlan.js';
 export type { RunnerMaintenance } from './RunnerMaintenance.js';
 export { slowestClockRate } from './Runner.js';
-export type { ListedRunner, Runner } from './Runner.js';
+export type { ListedRunner } from './ListedRunner.js';
+export type { Runner } from './Runner.js';
 export type { JobRun } from './JobRun.js';
 export { createProgressRecord } from './ProgressRecord.js';
 export type { LearnedState } from './LearnedState.js';
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -27,7 +27,7 @@
 import { createMaintenanceServices } from './MaintenanceServices.js';
 import type { OperatorConfiguration, OperatorKeys } from './OperatorConfiguration.js';
 import type { RunnerClient } from './RunnerClient.js';
-import type { RunnerRegistry } from './Scheduling.js';
+import type { RunnerRegistry } from './RunnerRegistry.js';
 import { Scheduling } from './Scheduling.js';
 import { StoreAccess } from './StoreAccess.js';
 import { StrongestCores } from './StrongestCores.js';
@@ -302,6 +302,7 @@
       {
         ...this.services,
         store: this.storeAccess.store,
+        revisionTimes: this.storeAccess.monitor.revisionTimes,
         bounds: this.settings.bounds,
         counters: this.counters,
         evacuations: this.evacuations,
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -4,7 +4,6 @@
   DecisionKind,
   DecisionLog,
   DispatchBounds,
-  ListedRunner,
   RunCounters,
   Runner,
   StartCommand,
@@ -12,7 +11,6 @@
 } from '@apricothoist/dispatch';
 import { defaultPolicy, Dispatcher } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
-import type { Result } from 'neverthrow';
 
 import type { JobUpdate } from './FeedUpdateBuffer.js';
 import { FeedUpdateBuffer, isIdle } from './FeedUpdateBuffer.js';
@@ -35,8 +33,12 @@
 import { ProgressQueue } from './ProgressQueue.js';
 import { ProgressWriter } from './ProgressWriter.js';
 import type { RunnerClient } from './RunnerClient.js';
+import type { RunnerList } from './RunnerLister.js';
+import { RunnerLister } from './RunnerLister.js';
 import type { RunnerLinkOwner } from './RunnerLink.js';
 import { RunnerLink } from './RunnerLink.js';
+import type { RevisionTimes } from './RevisionTimes.js';
+import type { RunnerRegistry } from './RunnerRegistry.js';
 import { StoreTiming } from './StoreTiming.js';
 
 /** Milliseconds between scheduling steps while no event arrives. */
@@ -57,16 +59,11 @@
 /** Decisions that a load makes once for each stored job and listed runner; J722 has their numbers. */
 const loadDecisions = new Set<DecisionKind>(['jobQueued', 'runnerListed']);
 
-/** Registry of the available runners. */
-export interface RunnerRegistry {
-  /** @param deadline monotonic milliseconds */
-  list(deadline: number): Promise<Result<readonly ListedRunner[], CoordinationError>>;
-}
-
 /** Dependencies of `Scheduling`, provided by the instance. */
 export interface SchedulingServices {
   readonly store: CoordinationStore;
   readonly registry: RunnerRegistry;
+  readonly revisionTimes: RevisionTimes;
   readonly runners: RunnerClient;
   /** Undefined if the settings name no advice service. */
   readonly advice?: AdviceClient;
@@ -144,6 +141,8 @@
 
   private readonly learnedState: LearnedStateStore;
 
+  private readonly runnerLister: RunnerLister;
+
   public readonly maintenance: MaintenanceWaves | undefined;
 
   private isListingRunners = false;
@@ -172,7 +171,8 @@
     if (configuration !== undefined) {
       this.configure(configuration);
     }
-    const { runners } = services;
+    const { runners, registry, revisionTimes } = services;
+    this.runnerLister = new RunnerLister(registry, revisionTimes, clock);
     this.commandSender = new CommandSender(
       this.dispatcher,
       runners,
@@ -340,11 +340,11 @@
   }
 
   private async loadStoredState(): Promise<boolean> {
-    const { store, registry, clock, log, loadLimit } = this.services;
+    const { store, clock, log, loadLimit } = this.services;
     const startedAt = this.now;
     const reader = new StoredStateReader(
       store,
-      registry,
+      this.runnerLister,
       clock,
       log,
       () => !this.isStopped,
@@ -362,8 +362,8 @@
     const { runners, jobs, progress, revision } = stored;
     this.isLoading = true;
     this.learnedState.restore(stored.learnedState);
-    this.dispatcher.updateRunners(runners, this.now, stored.runnersRequestedAt);
-    this.runnersListedAt = stored.runnersRequestedAt;
+    this.applyRunnerList(runners);
+    this.runnersListedAt = runners.requestedAt;
     this.jobLoader.loadAll(jobs, progress);
     this.isLoading = false;
     this.watch.start((error) => this.logError(error), revision);
@@ -373,7 +373,7 @@
       token: this.termToken,
       jobs: this.dispatcher.state.jobs.size,
       progressRecords: progress.length,
-      runners: runners.length,
+      runners: runners.runners.length,
       revision,
       bytes: stored.bytes,
       tries: stored.tries,
@@ -484,12 +484,12 @@
     this.isListingRunners = true;
     const requestedAt = this.now;
     this.runnersListedAt = requestedAt;
-    this.services.registry
+    this.runnerLister
       .list(requestedAt + StoreTiming.callTimeoutMs)
       .then((runners) => {
         this.isListingRunners = false;
         if (runners.isOk() && !this.isStopped) {
-          this.dispatcher.updateRunners(runners.value, this.now, requestedAt);
+          this.applyRunnerList(runners.value);
           this.updateLinks();
           this.wake();
         }
@@ -497,6 +497,10 @@
       .catch((error: unknown) => this.logError(error));
   }
 
+  private applyRunnerList({ runners, unreadableIds, requestedAt }: RunnerList): void {
+    this.dispatcher.updateRunners(runners, this.now, requestedAt, unreadableIds);
+  }
+
   private updateLinks(): void {
     const { runners } = this.dispatcher.state;
     this.links.forEach((link, id) => {
--- a/packages/instance/src/StoredStateReader.ts
+++ b/packages/instance/src/StoredStateReader.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '@apricothoist/common';
 import { delay } from '@apricothoist/common';
-import type { ListedRunner } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
 import type { Result } from 'neverthrow';
 
@@ -8,7 +7,7 @@
 import { JobEvents } from './events.js';
 import { StoreKeys } from './keys.js';
 import { PagedList } from './PagedList.js';
-import type { RunnerRegistry } from './Scheduling.js';
+import type { RunnerList, RunnerLister } from './RunnerLister.js';
 
 /** First timeout of a call in milliseconds: a page of a megabyte over a link of 6 Mbit/s. */
 const firstTimeoutMs = 2_000;
@@ -36,9 +35,7 @@
 
 /** What a scheduling instance needs to know before it schedules. */
 export interface StoredState {
-  readonly runners: readonly ListedRunner[];
-  /** Monotonic milliseconds. */
-  readonly runnersRequestedAt: number;
+  readonly runners: RunnerList;
   readonly jobs: readonly StoredItem[];
   /** Revision from which changes of jobs must be watched. */
   readonly revision: number;
@@ -79,11 +76,9 @@
   /** Milliseconds; the link to the store is the same for all parts. */
   private timeoutMs = firstTimeoutMs;
 
-  private runnersRequestedAt = -Infinity;
-
   public constructor(
     private readonly store: CoordinationStore,
-    private readonly registry: RunnerRegistry,
+    private readonly runnerLister: RunnerLister,
     private readonly clock: Clock,
     private readonly log: EventLog,
     private readonly isNeeded: () => boolean,
@@ -111,16 +106,13 @@
     // A successor can schedule without the learned state, so its tries are limited to two.
     const [learnedState, runners] = await Promise.all([
       firstLearnedState.isErr() ? this.readLearnedState() : firstLearnedState,
-      this.clock.monotonic() - this.runnersRequestedAt > maxRunnersAgeMs
-        ? this.readRunners()
-        : firstRunners,
+      this.isOutdated(firstRunners) ? this.readRunners() : firstRunners,
     ]);
     if (!this.isNeeded() || runners.isErr()) {
       return undefined;
     }
     return {
       runners: runners.value,
-      runnersRequestedAt: this.runnersRequestedAt,
       jobs: this.jobs.items,
       revision: this.jobs.revision,
       progress: this.progress.items,
@@ -149,11 +141,12 @@
     }
   }
 
-  private async readRunners(): Promise<Result<readonly ListedRunner[], CoordinationError>> {
-    return this.repeat(StoredPart.runners, (deadline) => {
-      this.runnersRequestedAt = this.clock.monotonic();
-      return this.registry.list(deadline);
-    });
+  private async readRunners(): Promise<Result<RunnerList, CoordinationError>> {
+    return this.repeat(StoredPart.runners, (deadline) => this.runnerLister.list(deadline));
+  }
+
+  private isOutdated(runners: Result<RunnerList, CoordinationError>): boolean {
+    return runners.isOk() && this.clock.monotonic() - runners.value.requestedAt > maxRunnersAgeMs;
   }
 
   private async readLearnedState(): Promise<Result<StoredItem | undefined, CoordinationError>> {
--- a/packages/instance/src/electionAfterRestart.test.ts
+++ b/packages/instance/src/electionAfterRestart.test.ts
@@ -4,10 +4,11 @@
 import { replayBounds, VirtualCoordinationStore } from '@apricothoist/testing';
 import { install } from '@sinonjs/fake-timers';
 import test from 'ava';
-import { err, ok } from 'neverthrow';
+import { err } from 'neverthrow';
 
 import { JobInstance } from './JobInstance.js';
 import type { RunnerClient } from './RunnerClient.js';
+import { createRegistry } from './testing/fakeRegistry.js';
 
 const smallCores = 0.324;
 const largeCores = 1.35;
@@ -74,7 +75,7 @@
     };
     return new JobInstance(settings, {
       store: this.store,
-      registry: { list: async () => ok([]) },
+      registry: createRegistry(),
       runners: {} as RunnerClient,
       clock: this.clock,
       steadyClock: this.clock,
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -17,7 +17,7 @@
 export type { AdviceClient } from './AdviceClient.js';
 export { RunnerError, RunnerErrorKind } from './RunnerClient.js';
 export type { ReportRequest, RunnerClient } from './RunnerClient.js';
-export type { RunnerRegistry } from './Scheduling.js';
+export type { RegistryEntry, RegistryListing, RunnerRegistry } from './RunnerRegistry.js';
 export type { OperatorConfiguration, OperatorKeys, Route } from './OperatorConfiguration.js';
 export { Lookup, SubmitOutcome } from './requestResults.js';
 export type { StateResult, SubmitResult } from './requestResults.js';
--- a/packages/instance/src/instance.test.ts
+++ b/packages/instance/src/instance.test.ts
@@ -30,11 +30,13 @@
 import { RecentSet } from './RecentSet.js';
 import { Lookup, SubmitOutcome } from './requestResults.js';
 import { LoadLimit } from './LoadLimit.js';
+import { RevisionTimes } from './RevisionTimes.js';
 import type { RunnerClient } from './RunnerClient.js';
 import type { SchedulingServices } from './Scheduling.js';
 import { Scheduling } from './Scheduling.js';
 import { SuspendAwareClock } from './SuspendAwareClock.js';
 import { fakeOutlook, noForwarder } from './testing/fakeOutlook.js';
+import { createRegistry } from './testing/fakeRegistry.js';
 
 const queue = replayQueues.urgent as Queue;
 const specification = createSpecification('00000000000000aa', [plainStep]);
@@ -105,7 +107,8 @@
   return new Scheduling(
     {
       store,
-      registry: { list: async () => ok([]) },
+      registry: createRegistry(),
+      revisionTimes: new RevisionTimes(),
       runners: {} as RunnerClient,
       clock,
       steadyClock: clock,
@@ -221,7 +224,7 @@
   const scheduling = createScheduling(store, [], {
     token: () => token,
     runners,
-    registry: { list: async () => ok([listedRunner('r1')]) },
+    registry: createRegistry([listedRunner('r1')]),
     publish: ({ states }) => reported.push(...states.map(([, state]) => state)),
   });
   scheduling.start();
--- a/packages/instance/src/leadershipTransfer.test.ts
+++ b/packages/instance/src/leadershipTransfer.test.ts
@@ -23,6 +23,7 @@
 import { leaseTimingFor } from './LeaseTiming.js';
 import { LoadLimit } from './LoadLimit.js';
 import type { RunnerClient } from './RunnerClient.js';
+import { createRegistry } from './testing/fakeRegistry.js';
 
 const queue = replayQueues.urgent as Queue;
 /** Milliseconds within which jobs must run again after a takeover. */
@@ -71,7 +72,7 @@
       },
       {
         store: this.createStore(),
-        registry: { list: async () => ok([]) },
+        registry: createRegistry(),
         runners: {} as RunnerClient,
         clock: this.clock,
         steadyClock: this.clock,
--- a/packages/instance/src/leaseInDoubt.test.ts
+++ b/packages/instance/src/leaseInDoubt.test.ts
@@ -2,13 +2,14 @@
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
 import { replayBounds, VirtualCoordinationStore } from '@apricothoist/testing';
 import test from 'ava';
-import { err, ok } from 'neverthrow';
+import { err } from 'neverthrow';
 
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
 import { FeedClient } from './FeedClient.js';
 import { JobInstance } from './JobInstance.js';
 import { JobStatusCache } from './JobStatusCache.js';
 import type { RunnerClient } from './RunnerClient.js';
+import { createRegistry } from './testing/fakeRegistry.js';
 import { findFreePort } from './testing/findFreePort.js';
 
 const pollMs = 50;
@@ -52,7 +53,7 @@
     };
     await using instance = new JobInstance(settings, {
       store,
-      registry: { list: async () => ok([]) },
+      registry: createRegistry(),
       runners: {} as RunnerClient,
       clock,
       steadyClock: clock,
--- a/packages/instance/src/takeoverLoad.test.ts
+++ b/packages/instance/src/takeoverLoad.test.ts
@@ -16,7 +16,7 @@
 import { install } from '@sinonjs/fake-timers';
 import test from 'ava';
 import type { Result } from 'neverthrow';
-import { err, ok } from 'neverthrow';
+import { err } from 'neverthrow';
 
 import type { CoordinationStore, StoredItem, StoredItems } from './CoordinationStore.js';
 import { CoordinationError, CoordinationErrorKind } from './CoordinationStore.js';
@@ -24,8 +24,10 @@
 import { JobEvents } from './events.js';
 import { StoreKeys } from './keys.js';
 import { LoadLimit } from './LoadLimit.js';
+import { RevisionTimes } from './RevisionTimes.js';
 import type { RunnerClient } from './RunnerClient.js';
 import { Scheduling } from './Scheduling.js';
+import { createRegistry } from './testing/fakeRegistry.js';
 
 const queue = replayQueues.urgent as Queue;
 const bytesPerMegabit = 125_000;
@@ -127,7 +129,8 @@
     return new Scheduling(
       {
         store: this.createStore(),
-        registry: { list: async () => ok([]) },
+        registry: createRegistry(),
+        revisionTimes: new RevisionTimes(),
         runners: {} as RunnerClient,
         clock,
         steadyClock: clock,
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 
 import type { Clock } from '@apricothoist/common';
-import { delay, Random } from '@apricothoist/common';
+import { Random } from '@apricothoist/common';
 import type { ListedRunner, Queue, Resources, StartCommand, Step } from '@apricothoist/dispatch';
 import { JobState, RunCounters } from '@apricothoist/dispatch';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
@@ -23,7 +23,8 @@
   VirtualRunnerPool,
 } from '@apricothoist/testing';
 import { install } from '@sinonjs/fake-timers';
-import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { err } from 'neverthrow';
 
 import type { AdviceClient } from '../AdviceClient.js';
 import type { CoordinationStore } from '../CoordinationStore.js';
@@ -33,10 +34,13 @@
 import { LoadLimit } from '../LoadLimit.js';
 import type { MaintenanceServices } from '../MaintenanceServices.js';
 import type { OperatorConfiguration } from '../OperatorConfiguration.js';
+import { RevisionTimes } from '../RevisionTimes.js';
 import { RunnerError, RunnerErrorKind } from '../RunnerClient.js';
+import type { RegistryListing } from '../RunnerRegistry.js';
 import type { SchedulingServices } from '../Scheduling.js';
 import { Scheduling } from '../Scheduling.js';
 import { SuspendAwareClock } from '../SuspendAwareClock.js';
+import { VirtualRegistry } from './VirtualRegistry.js';
 
 export const queue = replayQueues.urgent as Queue;
 const configurationOf = (route: Queue, guardsCapacity: boolean): OperatorConfiguration => ({
@@ -104,8 +108,17 @@
 
   public readonly evacuations = new EvacuationRequests('evacuate/');
 
+  public readonly registry = new VirtualRegistry(
+    this.store,
+    replayBounds.entryTtlMs,
+    () => this.now,
+  );
+
   public readonly cutRunners = new Set<string>();
 
+  /** Runners to which connections are refused, whether or not they are up. */
+  public readonly refusingRunners = new Set<string>();
+
   /** Registry entries of incarnations that have ended, until the next one has registered. */
   private readonly staleEntries = new Map<string, ListedRunner>();
 
@@ -209,18 +222,14 @@
       wall: () => this.now + this.wallOffsetMs,
     };
     const clock = new SuspendAwareClock(steadyClock);
+    const revisionTimes = new RevisionTimes();
+    revisionTimes.record(token, clock.monotonic());
     return {
       store: this.options.wrapStore?.(this.store) ?? this.store,
       evacuations: this.evacuations,
       maintenance: this.options.maintenance,
-      registry: {
-        list: async () => {
-          await delay(this.store.callMs);
-          return this.isRegistryUnreadable
-            ? err(new CoordinationError(CoordinationErrorKind.unanswered, 'no response'))
-            : ok(this.listRunners());
-        },
-      },
+      registry: { list: () => this.listRegistry() },
+      revisionTimes,
       runners: this.createClient(clock),
       ...(this.options.advice && { advice: this.options.advice }),
       clock,
@@ -327,9 +336,23 @@
     setTimeout(() => this.staleCapacities.delete(runnerId), listedAfterMs);
   }
 
+  private async listRegistry(): Promise<Result<RegistryListing, CoordinationError>> {
+    const listed = await this.store.list('runners/');
+    const { unreadableIds } = this.registry;
+    return this.isRegistryUnreadable
+      ? err(new CoordinationError(CoordinationErrorKind.unanswered, 'no response'))
+      : listed.map(({ revision }) => ({
+          entries: this.listRunners()
+            .filter(({ id }) => !unreadableIds.has(id))
+            .map((runner) => ({ runner, revision: this.registry.revisionOf(runner.id) })),
+          unreadableIds,
+          revision,
+        }));
+  }
+
   private listRunners(): ListedRunner[] {
     return this.pool.all
-      .filter(({ id }) => !this.unlistedRunners.has(id))
+      .filter(({ id }) => !this.unlistedRunners.has(id) && this.registry.contains(id))
       .map(({ id, entry }) => ({
         ...entry,
         capacity: this.staleCapacities.get(id) ?? entry.capacity,
@@ -346,6 +369,7 @@
       decideFate: this.options.decideFate ?? ((): CallFate => delivered),
       trace: (call, text) => this.trace(call.runnerId, JSON.stringify(call), text),
       isCut: (runnerId) => this.cutRunners.has(runnerId),
+      isRefusing: (runnerId) => this.refusingRunners.has(runnerId),
       lateCallsOutliveProcess,
       createError: (kind, message) => new RunnerError(RunnerErrorKind[kind], message),
     });
--- a/packages/testing/src/VirtualRunnerClient.ts
+++ b/packages/testing/src/VirtualRunnerClient.ts
@@ -10,7 +10,7 @@
 import type { VirtualReport, VirtualRunner } from './VirtualRunner.js';
 import type { VirtualRunnerPool } from './VirtualRunnerPool.js';
 
-export type VirtualCallErrorKind = 'unanswered' | 'fenced' | 'refused';
+export type VirtualCallErrorKind = 'unanswered' | 'disconnected' | 'fenced' | 'refused';
 
 export interface VirtualRunnerClientOptions<E> {
   /** Clock of the instance that calls. */
@@ -21,6 +21,8 @@
   readonly decideFate: (call: VirtualCall) => CallFate;
   /** Whether calls to the runner are dropped now, and answers from it lost. */
   readonly isCut: (runnerId: string) => boolean;
+  /** Whether connections to the runner are refused now; open ones are closed. */
+  readonly isRefusing?: (runnerId: string) => boolean;
   /** Whether a late call is also executed by a process that started after it was sent. */
   readonly lateCallsOutliveProcess: boolean;
   /** Receives a line for each call that is sent and for each that is executed. */
@@ -122,7 +124,8 @@
   ): Result<T, E> {
     const { createError } = this.options;
     if (answer === undefined) {
-      return err(createError('unanswered', `no answer of ${runnerId}`));
+      const kind = this.isRefusing(runnerId) ? 'disconnected' : 'unanswered';
+      return err(createError(kind, `no answer of ${runnerId}`));
     }
     if (answer === false) {
       return err(createError('fenced', `${runnerId} has seen a higher token`));
@@ -145,6 +148,9 @@
     const { processStartedAt } = target;
     const fate = this.options.decideFate(call);
     this.options.trace?.(call, `sent, ${JSON.stringify(fate)}`);
+    if (this.isRefusing(call.runnerId)) {
+      return undefined;
+    }
     if (this.options.isCut(call.runnerId)) {
       return expired;
     }
@@ -177,6 +183,7 @@
         waitMs > 0 &&
         !target.hasEnds &&
         target.processStartedAt === executedBy &&
+        !this.isRefusing(call.runnerId) &&
         this.options.now() < waitEnd
       ) {
         await delay(waitPollMs);
@@ -188,6 +195,9 @@
       const clock = target.clock(this.options.now());
       await delay(fate.latencyMs);
       this.pool.advance(this.options.now());
+      if (this.isRefusing(call.runnerId)) {
+        return undefined;
+      }
       const isLost =
         answer === undefined ||
         fate.kind === 'answerLost' ||
@@ -203,6 +213,10 @@
     return Promise.race([expired, answered]);
   }
 
+  private isRefusing(runnerId: string): boolean {
+    return this.options.isRefusing?.(runnerId) ?? false;
+  }
+
   private leaseDeadline(runner: ListedRunner): number {
     const reading = this.clockReadings.get(runner.id);
     if (reading === undefined || reading.processStartedAt !== runner.processStartedAt) {
