--- a/packages/soak/src/JobClients.ts
+++ b/packages/soak/src/JobClients.ts
@@ -17,6 +17,9 @@
 }
 
 const maxSubmitAttempts = 4;
+/** Longest tasks in milliseconds. */
+const maxTaskMs = 1_500;
+const maxLongTaskMs = 9_000;
 const okStatus = 200;
 const refusedStatuses = [429, 503];
 /** Number of hexadecimal digits of a job id after those of its client. */
@@ -40,6 +43,8 @@
     private readonly random: Random,
     /** Share of the jobs whose tasks crash their runners. */
     private readonly crashingShare = 0,
+    /** Share of the jobs whose tasks outlast a registry entry. */
+    private readonly longShare = 0,
   ) {}
 
   public start(count: number): void {
@@ -64,7 +69,8 @@
     const number = (this.jobs.length + 1).toString(16);
     const id = `${index.toString(16)}f${number.padStart(idDigits, '0')}`;
     const tasks = 1 + this.random.below(4);
-    const durationMs = 50 + this.random.below(1_500);
+    const isLong = this.longShare > 0 && this.random.fraction() < this.longShare;
+    const durationMs = 50 + this.random.below(isLong ? maxLongTaskMs : maxTaskMs);
     const gang = this.random.fraction() < 0.5;
     const mayCancel = this.random.fraction() < 0.1;
     const crashesRunners = this.crashingShare > 0 && this.random.fraction() < this.crashingShare;
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -20,6 +20,8 @@
 export const runnerCapacity = 8;
 /** Milliseconds between two registry entries of a runner. */
 const heartbeatMs = 1_500;
+/** Milliseconds after its last write at which the entry of a silent runner expires. */
+const entryTtlMs = 3 * heartbeatMs;
 
 function randomInstance({ deployment, random }: FaultContext): InstanceProcess {
   return random.pick(deployment.instances);
@@ -137,6 +139,33 @@
   },
 };
 
+/** Departures of runners, and cuts of draining runners whose registry entries expire. */
+export const departureFaults: Readonly<Record<string, Fault>> = {
+  leave: async ({ deployment, random }) => {
+    const runner = random.pick(deployment.runners);
+    runner.register(deployment.store, 'draining');
+    await delay(1_000 + random.below(3_000));
+    runner.leave(deployment.store);
+    await delay(500 + random.below(4_000));
+    runner.restart();
+    runner.register(deployment.store, 'ready');
+  },
+  cutDraining: async ({ deployment, random }) => {
+    const runner = random.pick(deployment.runners);
+    runner.register(deployment.store, 'draining');
+    await delay(random.below(entryTtlMs));
+    runner.refusesConnections = true;
+    runner.closeConnections();
+    await delay(runner.registeredAt + entryTtlMs - Date.now());
+    if (Date.now() >= runner.registeredAt + entryTtlMs) {
+      runner.unregister(deployment.store);
+    }
+    await delay(random.below(5_000));
+    runner.refusesConnections = false;
+    runner.register(deployment.store, 'ready');
+  },
+};
+
 /** Faults of single calls to runners, and a restart that the registry shows late. */
 export const callFaults: Readonly<Record<string, Fault>> = {
   lateStarts: (context) => disruptCalls(context, { [RunnerCall.start]: { late: 0.5 } }),
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -43,6 +43,11 @@
     default: false,
     describe: 'also change the capacity of runners; those of odd seeds do not guard it',
   })
+  .option('departures', {
+    type: 'boolean',
+    default: false,
+    describe: 'also let runners leave, and cut draining runners off until their entries expire',
+  })
   .option('logs', { type: 'string', default: '.', describe: 'directory for logs of failed seeds' })
   .option('jobs', { type: 'number', default: 3, describe: 'seeds that run concurrently' })
   .strict()
@@ -56,6 +61,7 @@
 async function runSeedOrReport(seed: number): Promise<SoakResult> {
   const { instances, runners, clients, seconds } = options;
   const { calls: disruptsCalls, crashes: crashesRunners, capacity: changesCapacity } = options;
+  const { departures: departsRunners } = options;
   const faultMs = seconds * 1_000;
   try {
     return await runSeed({
@@ -67,6 +73,7 @@
       disruptsCalls,
       crashesRunners,
       changesCapacity,
+      departsRunners,
     });
   } catch (error) {
     const violations = [`run aborted: ${messageOf(error)}`];
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -3,7 +3,7 @@
 import { TestDeployment, StoreMode } from '@apricothoist/site/testing';
 
 import type { Fault } from './faults.js';
-import { callFaults, capacityFaults, faults, runnerCapacity } from './faults.js';
+import { callFaults, capacityFaults, departureFaults, faults, runnerCapacity } from './faults.js';
 import { JobClients } from './JobClients.js';
 
 export interface SoakOptions {
@@ -19,6 +19,8 @@
   readonly crashesRunners: boolean;
   /** Whether the capacities of runners change. */
   readonly changesCapacity: boolean;
+  /** Whether runners leave, and are cut off while they drain. */
+  readonly departsRunners: boolean;
 }
 
 export interface SoakResult {
@@ -37,6 +39,8 @@
 const concurrentCallFaultSeries = 2;
 /** Share of the jobs whose tasks crash their runners. */
 const crashingShare = 0.15;
+/** Share of the jobs whose tasks outlast a registry entry, beside departures. */
+const longShare = 0.2;
 /** Interval at which exited processes are restarted, as the platform does, in milliseconds. */
 const restartIntervalMs = 200;
 /** Milliseconds within which every accepted job has to end once no fault is active any more. */
@@ -61,6 +65,7 @@
     deployment,
     new Random(options.seed + 2),
     options.crashesRunners ? crashingShare : 0,
+    options.departsRunners ? longShare : 0,
   );
   clients.start(options.clients);
   const supervisor = setInterval(
@@ -82,12 +87,17 @@
   };
   const callRandom = new Random(options.seed + 3);
   const capacityRandom = new Random(options.seed + 4);
+  const departureRandom = new Random(options.seed + 5);
+  const departureSeries = options.departsRunners ? 1 : 0;
   const capacitySeries = options.changesCapacity ? 1 : 0;
   const callSeries = options.disruptsCalls ? concurrentCallFaultSeries : 0;
   await Promise.all([
     ...Array.from({ length: concurrentFaultSeries }, () => injectFaults(faults, random)),
     ...Array.from({ length: callSeries }, () => injectFaults(callFaults, callRandom)),
     ...Array.from({ length: capacitySeries }, () => injectFaults(capacityFaults, capacityRandom)),
+    ...Array.from({ length: departureSeries }, () =>
+      injectFaults(departureFaults, departureRandom),
+    ),
   ]);
   deployment.store.mode = StoreMode.up;
   if (options.changesCapacity) {
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -2,7 +2,12 @@
 
 import { runSeed } from './runSeed.js';
 
-const fewFaults = { disruptsCalls: false, crashesRunners: false, changesCapacity: false };
+const fewFaults = {
+  disruptsCalls: false,
+  crashesRunners: false,
+  changesCapacity: false,
+  departsRunners: false,
+};
 const shortRun = { instances: 3, runners: 4, clients: 4, faultMs: 6_000, ...fewFaults };
 const defaultRun = { instances: 4, runners: 6, clients: 6, faultMs: 12_000, ...fewFaults };
 
@@ -12,6 +17,9 @@
 /** Seeds that are run with the short options and faults of calls to runners. */
 const callSeeds = [5];
 
+/** Seeds that are run with departures of runners. */
+const departureSeeds = [1];
+
 /** Seeds that found a fault once, with its cause. */
 const regressions: Readonly<Record<number, string>> = {
   3: 'a SIGHUP terminated instances during start-up',
@@ -36,6 +44,21 @@
   });
 });
 
+departureSeeds.forEach((seed) => {
+  test.serial(
+    `seed ${seed} violates no invariant while runners leave or are cut off`,
+    async (t) => {
+      const result = await runSeed({ seed, ...defaultRun, departsRunners: true });
+      t.true(result.accepted > 0);
+      t.deepEqual(
+        result.violations,
+        [],
+        `${result.faults.join(' ')}\n${result.logs.slice(-4_000)}`,
+      );
+    },
+  );
+});
+
 Object.entries(regressions).forEach(([seed, cause]) => {
   test.serial(`seed ${seed} found a fault before: ${cause}`, async (t) => {
     const result = await runSeed({ seed: Number(seed), ...defaultRun });
