--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,14 +1,9 @@
 import type { QueueStatus } from './Admission.js';
 import { describeQueues } from './Admission.js';
 import { AdviceExchange } from './AdviceExchange.js';
+import type { Commands } from './Commands.js';
 import { DispatchRound } from './DispatchRound.js';
-import type {
-  DecisionLog,
-  DispatchBounds,
-  DispatchPolicy,
-  StartCommand,
-  StopCommand,
-} from './DispatchState.js';
+import type { DecisionLog, DispatchBounds, DispatchPolicy, StartCommand } from './DispatchState.js';
 import { defaultPolicy, DispatchState } from './DispatchState.js';
 import type { LearnedState } from './LearnedState.js';
 import { exportLearnedState, restoreLearnedState } from './LearnedState.js';
@@ -42,12 +37,6 @@
 /** Milliseconds between removals of records; each one delays a step by some store calls. */
 const removalIntervalMs = 5_000;
 
-/** Commands to be sent to runners. */
-export interface Commands {
-  readonly starts: readonly StartCommand[];
-  readonly stops: readonly StopCommand[];
-}
-
 /**
  * The job scheduler: takes events and returns the resulting commands to runners. It does no I/O.
  * All times are monotonic milliseconds unless a name says otherwise.
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -7,7 +7,7 @@
 export { decideAdmission } from './Admission.js';
 export type { Admission, QueueStatus } from './Admission.js';
 export { Dispatcher } from './Dispatcher.js';
-export type { Commands } from './Dispatcher.js';
+export type { Commands } from './Commands.js';
 export type {
   DecisionFields,
   DecisionKind,
--- a/packages/dispatch/src/permits.test.ts
+++ b/packages/dispatch/src/permits.test.ts
@@ -9,7 +9,7 @@
 } from '@apricothoist/testing';
 import test from 'ava';
 
-import type { Commands } from './Dispatcher.js';
+import type { Commands } from './Commands.js';
 import type { Advice, Queue, Step } from './Job.js';
 import type { AdviceQuestion } from './Permits.js';
 import { StartOutcome } from './StartOutcome.js';
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -1,44 +1,33 @@
-import type { Clock, Random } from '@apricothoist/common';
 import { delay, messageOf } from '@apricothoist/common';
 import type {
   DecisionKind,
   DecisionLog,
-  DispatchBounds,
-  RunCounters,
   Runner,
   StartCommand,
   StartOutcome,
 } from '@apricothoist/dispatch';
 import { defaultPolicy, Dispatcher } from '@apricothoist/dispatch';
-import type { EventLog } from '@apricothoist/telemetry';
 
-import type { JobUpdate } from './FeedUpdateBuffer.js';
 import { FeedUpdateBuffer, isIdle } from './FeedUpdateBuffer.js';
-import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
-import type { EvacuationRequests } from './EvacuationRequests.js';
+import type { CoordinationError } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
 import { LearnedStateStore } from './LearnedStateStore.js';
-import type { LoadLimit } from './LoadLimit.js';
-import type { MaintenanceServices } from './MaintenanceServices.js';
 import { MaintenanceWaves } from './MaintenanceWaves.js';
 import { StoredJobLoader } from './StoredJobLoader.js';
 import { StoreKeys } from './keys.js';
 import { StoredStateReader } from './StoredStateReader.js';
 import type { OperatorConfiguration } from './OperatorConfiguration.js';
-import type { AdviceClient } from './AdviceClient.js';
 import { AdviceLoop } from './AdviceLoop.js';
 import { CommandSender } from './CommandSender.js';
 import { PrefixFollower } from './PrefixFollower.js';
 import type { ProcessedEnd } from './ProgressQueue.js';
 import { ProgressQueue } from './ProgressQueue.js';
 import { ProgressWriter } from './ProgressWriter.js';
-import type { RunnerClient } from './RunnerClient.js';
 import type { RunnerList } from './RunnerLister.js';
 import { RunnerLister } from './RunnerLister.js';
 import type { RunnerLinkOwner } from './RunnerLink.js';
 import { RunnerLink } from './RunnerLink.js';
-import type { RevisionTimes } from './RevisionTimes.js';
-import type { RunnerRegistry } from './RunnerRegistry.js';
+import type { SchedulingServices } from './SchedulingServices.js';
 import { StoreTiming } from './StoreTiming.js';
 
 /** Milliseconds between scheduling steps while no event arrives. */
@@ -59,36 +48,6 @@
 /** Decisions that a load makes once for each stored job and listed runner; J722 has their numbers. */
 const loadDecisions = new Set<DecisionKind>(['jobQueued', 'runnerListed']);
 
-/** Dependencies of `Scheduling`, provided by the instance. */
-export interface SchedulingServices {
-  readonly store: CoordinationStore;
-  readonly registry: RunnerRegistry;
-  readonly revisionTimes: RevisionTimes;
-  readonly runners: RunnerClient;
-  /** Undefined if the settings name no advice service. */
-  readonly advice?: AdviceClient;
-  readonly clock: Clock;
-  /** Clock that never runs ahead; leases of runners are judged by it. */
-  readonly steadyClock: Clock;
-  readonly random: Random;
-  readonly log: EventLog;
-  readonly bounds: DispatchBounds;
-  readonly counters: RunCounters;
-  /** Requests of the operator to evacuate data centres. */
-  readonly evacuations: EvacuationRequests;
-  /** Absent where the platform has no interface for the maintenance of machines. */
-  readonly maintenance?: MaintenanceServices | undefined;
-  /** Fencing token while the lease is valid, undefined otherwise. */
-  readonly token: () => number | undefined;
-  readonly resign: (reason: string) => void;
-  /** Gives the leadership to another instance. */
-  readonly transfer: (reason: string) => void;
-  readonly loadLimit: LoadLimit;
-  /** Cores of the strongest connected instance, this one included; 0 before the first update. */
-  readonly strongestCores: () => number;
-  readonly publish: (update: JobUpdate) => void;
-}
-
 /** What the load of the stored state has cost. */
 export interface LoadCost {
   readonly tookMs: number;
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -37,8 +37,8 @@
 import { RevisionTimes } from '../RevisionTimes.js';
 import { RunnerError, RunnerErrorKind } from '../RunnerClient.js';
 import type { RegistryListing } from '../RunnerRegistry.js';
-import type { SchedulingServices } from '../Scheduling.js';
 import { Scheduling } from '../Scheduling.js';
+import type { SchedulingServices } from '../SchedulingServices.js';
 import { SuspendAwareClock } from '../SuspendAwareClock.js';
 import { VirtualRegistry } from './VirtualRegistry.js';
 
