Membership: an instance is removed once all lists of 30 s have lacked it

An instance that had been silent for 30 s was forgotten with the first list of the platform that lacked it, even a partial one, and not added again; the fence then held the leases that it might renew to have expired.

Change: the time of the last list that contains an instance counts like its last digest. The test that expected the removal with the first list is replaced by one that checks both directions: kept while a list of the last 30 s contains it, removed after.

--- a/packages/mesh/src/Membership.ts
+++ b/packages/mesh/src/Membership.ts
@@ -37,7 +37,8 @@
   readonly lastDigestAt: number;
   /** Monotonic milliseconds at which the instance became known. */
   readonly firstSeenAt: number;
-  readonly isListed: boolean;
+  /** Monotonic milliseconds of the last list of the platform that contained it; 0 before the first. */
+  readonly lastListedAt: number;
   readonly digest?: Digest;
 }
 
@@ -45,7 +46,10 @@
 export const suspectTimeoutMs = 3_500;
 /** The same for instances of other data centres, which send digests less frequently. */
 const remoteSuspectTimeoutMs = 13_000;
-/** Time without a digest, in milliseconds, after which an unlisted instance is removed. */
+/**
+ * Time in milliseconds for which an instance has to be missing from all lists, and silent, before it is
+ * removed. A single list may be partial, and a removed instance counts as one that renews no leases.
+ */
 const removalTimeoutMs = 30_000;
 /** Number of removed instances to remember, so that a stale list does not add them again. */
 const maxTombstones = 1_000;
@@ -92,12 +96,11 @@
       .filter((peer) => !known.has(peer.address))
       .map((peer) => this.addPeer(peer, now))
       .some((isNew) => isNew);
-    this.all.forEach((member) => {
-      const isListed = addresses.has(member.address);
-      this.updateMember(member.instanceId, { isListed });
-      const isTimedOut = now - Math.max(member.lastDigestAt, member.firstSeenAt) > removalTimeoutMs;
-      if (!isListed && isTimedOut) {
-        this.applyEvent(member.instanceId, MemberEvent.delisted);
+    this.all.forEach(({ instanceId, address, lastDigestAt, firstSeenAt, lastListedAt }) => {
+      if (addresses.has(address)) {
+        this.updateMember(instanceId, { lastListedAt: now });
+      } else if (now - Math.max(lastDigestAt, firstSeenAt, lastListedAt) > removalTimeoutMs) {
+        this.applyEvent(instanceId, MemberEvent.delisted);
       }
     });
     return this.removeGone() || hasNewPeers;
@@ -155,7 +158,7 @@
       state,
       lastDigestAt: 0,
       firstSeenAt: now,
-      isListed: false,
+      lastListedAt: 0,
     });
     return true;
   }
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -130,7 +130,8 @@
   t.is(members.get('old'), undefined, 'a stale peer list must not add the replaced instance again');
 });
 
-test('an unresponsive instance is retained while listed and removed once it is not', (t) => {
+// One partial list made an instance that could still renew leases count as gone.
+test('an unresponsive instance is removed once all lists have lacked it for 30 s', (t) => {
   const members = new Membership('self', 'a');
   const listed = [{ instanceId: 'platform-name', dataCentre: 'a', address: 'one:1' }];
   members.applyDigest(createDigest('one'), 0);
@@ -138,6 +139,11 @@
   members.updateListed(listed, 100_000);
   t.truthy(members.get('one'));
   members.updateListed([], 100_001);
+  t.truthy(members.get('one'), 'missing from one list');
+  members.updateListed(listed, 110_000);
+  members.updateListed([], 140_000);
+  t.truthy(members.get('one'), 'listed again in between');
+  members.updateListed([], 140_001);
   t.is(members.get('one'), undefined);
 });
 
