A start is logged with what proved the end of the run before it

The record of two runs from one holder has the lines that name the job, and none that tells which proof ended the first run. J752 now has the runners of the former run and what proved its ends, J757 how the runner stood then (unanswered calls, listed, leaving).

--- a/packages/dispatch/src/TaskGroup.ts
+++ b/packages/dispatch/src/TaskGroup.ts
@@ -1,6 +1,7 @@
 import { StateChart } from '@apricothoist/common';
 
 import { CrashHistory } from './CrashHistory.js';
+import type { EndEvidence } from './EndEvidence.js';
 import type { JobRun } from './JobRun.js';
 import type { Step } from './Job.js';
 import { resourcesOf } from './Job.js';
@@ -53,6 +54,8 @@
   processStartedAt: number;
   /** What is known of the calls about the current or last run. */
   history: RunHistory;
+  /** What proved the end of the last run that has ended; undefined if none has here. */
+  endEvidence?: EndEvidence;
   /** Crashes of runners while the task was there, in any of its runs. */
   crashes: CrashHistory;
   isStopRequested: boolean;
--- a/packages/dispatch/src/TaskGroupLifecycle.ts
+++ b/packages/dispatch/src/TaskGroupLifecycle.ts
@@ -1,5 +1,6 @@
 import type { DispatchState, StartCommand } from './DispatchState.js';
 import { EndEvidence } from './EndEvidence.js';
+import { describeFormerRun } from './formerRun.js';
 import { JobState } from './Job.js';
 import type { JobRun } from './JobRun.js';
 import type { Placement } from './CapacityLedger.js';
@@ -56,6 +57,7 @@
 
   /** Issues start commands for all members; `placement` gives their number on each runner. */
   public requestStart(group: TaskGroup, placement: Placement, now: number): void {
+    const formerRun = describeFormerRun(group.members);
     group.apply('requestStart');
     group.run += 1;
     group.startRequestedAt = now;
@@ -91,6 +93,7 @@
       runners: [...placement.keys()].join(','),
       waitedMs: Math.round(now - group.job.arrivedAt),
       resumes: group.saved !== '',
+      ...formerRun,
     });
   }
 
@@ -333,6 +336,7 @@
       return;
     }
     this.recordEvidence(runner, occupant, evidence, now);
+    member.endEvidence = evidence;
     runner.removeOccupant(member.task, run);
     // The proof by an expired lease holds only until a call extends the lease again.
     if (evidence === EndEvidence.leaseExpired && member.history.mayStillStart) {
@@ -373,6 +377,9 @@
       memberState: member.state,
       sinceStartMs: Math.round(now - group.startRequestedAt),
       reportAgeMs: Math.round(now - runner.reportRequestedAt),
+      unansweredCalls: runner.unansweredCalls,
+      isListed: runner.isListed,
+      isLeaving: runner.isLeaving,
     });
   }
 
