Test, red: two runs beside each other after their runner left the registry

One holder, no takeover, no cut of the store: a draining runner removes its entry, refuses connections and works on. Fails on this code when the runner leaves 300 ms after its last heartbeat (the first moments pass: the holder has not yet listed it as draining).

--- a/packages/instance/src/departureProof.test.ts
+++ b/packages/instance/src/departureProof.test.ts
@@ -103,3 +103,19 @@
     t.true((await restartDelay(true)) < onceListedMs, 'by a successor');
   },
 );
+
+// Five tasks ran twice, started again in one round by the holder of their first runs: their runner
+// had left the registry and refused connections, and worked on.
+test.serial('work on a runner that has left the registry is not started beside it', async (t) => {
+  for (const leftAfterMs of moments) {
+    using deployment = createDeployment();
+    const runnerId = await startDraining(deployment);
+    await deployment.run(leftAfterMs);
+    deployment.registry.write(runnerId);
+    await deployment.run(100);
+    deployment.refusingRunners.add(runnerId);
+    deployment.registry.remove(runnerId);
+    await deployment.run(12_000);
+    t.deepEqual(findOverlaps(deployment.pool.records), [], `left after ${leftAfterMs} ms`);
+  }
+});
