Only its runner or an expired lease ends a run

Callers saw tasks at work twice: one holder held all runs on one runner to have ended and started them again in one round, while they worked on.

Cause: a departure counted as proof. It was concluded from what others say of a runner: its entry says draining, the entry is gone, a connection to it was closed.

Change: the proof is gone, with the dating of entries by revisions that it needed. Runs end by the word of their runner or with their leases.

Why it works: both remaining kinds of proof come from the runner itself, whoever leads, and in whatever order a runner leaves.

Tests: *work on a runner that has left the registry is not started beside it* failed before.

--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -78,8 +78,6 @@
   readonly reclaimMs: number;
   /** Longest lease that a runner grants. */
   readonly maxLeaseMs: number;
-  /** Time after its last write at which the registry removes the entry of a silent runner. */
-  readonly entryTtlMs: number;
   /**
    * Slowdown factor of a task outside the rack of its data, or of a gang spread over several racks.
    */
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -10,6 +10,7 @@
 import type { Account, JobSpecification, Queue } from './Job.js';
 import { JobState } from './Job.js';
 import { JobRun } from './JobRun.js';
+import { extendLease, grantLease } from './leases.js';
 import type { ListedRunner } from './ListedRunner.js';
 import type { StoredProgress } from './ProgressRecord.js';
 import type { RunnerReport } from './ReportHandler.js';
@@ -17,7 +18,7 @@
 import { ProgressRestorer } from './ProgressRestorer.js';
 import { remainingRunMs } from './RemainingTime.js';
 import { vacateDrainingRunners } from './drainingRunners.js';
-import { extendLease, occupantKey } from './Runner.js';
+import { occupantKey } from './Runner.js';
 import type { RunCounters } from './RunCounters.js';
 import { isLastingCapacity, sendRestriction } from './RunnerAvailability.js';
 import { RunnerChecks } from './RunnerChecks.js';
@@ -202,26 +203,30 @@
     return true;
   }
 
-  /**
-   * Records that the runner did not respond to a call.
-   *
-   * @param isDisconnected whether the runner closed the connection or refused it
-   */
-  public recordUnansweredCall(runnerId: string, now: number, isDisconnected = false): void {
+  /** Records that the runner did not respond to a call. */
+  public recordUnansweredCall(runnerId: string, now: number): void {
     const runner = this.state.runners.get(runnerId);
     if (runner !== undefined) {
       if (runner.unansweredCalls === 0) {
         this.crashes.recordLoss(runner, now);
       }
       runner.unansweredCalls += 1;
-      if (isDisconnected) {
-        runner.disconnectedAt ??= now;
-      }
     }
   }
 
   /**
-   * Records that a call is being sent that extends leases on the runner or starts a task there.
+   * Records that a call is being sent that extends the leases on the runner; returns the steady time
+   * until which it may extend them, undefined if the runner is not known.
+   *
+   * @param steadyNow reading of the steady clock, see `step`
+   */
+  public grantLease(runnerId: string, steadyNow: number): number | undefined {
+    const runner = this.state.runners.get(runnerId);
+    return runner && grantLease(runner, this.state.bounds, steadyNow);
+  }
+
+  /**
+   * Records that a task is to be started on the runner by a call that may extend leases there.
    *
    * @param steadyNow reading of the steady clock, see `step`
    */
--- a/packages/dispatch/src/EndEvidence.ts
+++ b/packages/dispatch/src/EndEvidence.ts
@@ -6,8 +6,6 @@
   refused: 'refused',
   /** A report of the runner does not list the run. */
   absent: 'absent',
-  /** The runner announced its departure, closed its connections and left the registry. */
-  departed: 'departed',
   /** No lease granted to the runner can still be valid. */
   leaseExpired: 'leaseExpired',
 } as const;
--- a/packages/dispatch/src/ListedRunner.ts
+++ b/packages/dispatch/src/ListedRunner.ts
@@ -15,6 +15,4 @@
   readonly minRemainingMs?: number;
   /** Start of the runner process, Unix milliseconds; 0: unknown. */
   readonly processStartedAt: number;
-  /** Monotonic time after which the runner last wrote its entry; absent if unknown. */
-  readonly writtenAfter?: number;
 }
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -71,7 +71,6 @@
     runner.isFenced = true;
     runner.isReportDue = false;
     runner.unansweredCalls = 0;
-    runner.disconnectedAt = undefined;
     runner.reportedAt = now;
     runner.reportRequestedAt = Math.max(runner.reportRequestedAt, report.requestedAt);
     report.ended.forEach((ended) => this.applyEnd(runner, ended, now));
@@ -126,14 +125,6 @@
     });
   }
 
-  /** Ends all runs of a runner whose process has ended as announced. */
-  public endDepartedRuns(runner: Runner, now: number): void {
-    [...runner.occupants.values()].forEach((occupant) => {
-      this.lifecycle.endRun(runner, occupant, RunEnd.missing, EndEvidence.departed, now, now);
-    });
-    [...runner.strays.keys()].forEach((key) => runner.removeStray(key));
-  }
-
   private applyEnd(runner: Runner, ended: EndedTask, now: number): void {
     if (ended.number <= runner.processedEndNumber) {
       return;
--- a/packages/dispatch/src/RunCounters.ts
+++ b/packages/dispatch/src/RunCounters.ts
@@ -7,7 +7,6 @@
     [EndEvidence.reported]: 0,
     [EndEvidence.refused]: 0,
     [EndEvidence.absent]: 0,
-    [EndEvidence.departed]: 0,
     [EndEvidence.leaseExpired]: 0,
   };
 
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -1,4 +1,3 @@
-import type { DispatchBounds } from './DispatchState.js';
 import type { ListedRunner } from './ListedRunner.js';
 import type { Resources } from './Resources.js';
 import { add, clampToZero, noResources, subtract } from './Resources.js';
@@ -52,15 +51,6 @@
   /** Consecutive calls without a response. */
   public unansweredCalls = 0;
 
-  /**
-   * Monotonic time at which the runner closed a connection, without an answer since then; undefined
-   * if it did not.
-   */
-  public disconnectedAt: number | undefined;
-
-  /** Monotonic time after which its registry entry was last written; -Infinity if unknown. */
-  public entryWrittenAfter = -Infinity;
-
   /** Steady time after which no run with a lease granted so far can still run. */
   public leaseEnd = 0;
 
@@ -232,17 +222,6 @@
   }
 }
 
-/** Lowest rate of a runner's clock against the steady clock of an instance. */
-export const slowestClockRate = 0.98;
-/** Milliseconds until an ended lease counts as expired, to allow for late timers on the runner. */
-const leaseSlackMs = 150;
-
-/** Records that a call is being sent that extends leases on the runner or starts a task there. */
-export function extendLease(runner: Runner, bounds: DispatchBounds, steadyNow: number): void {
-  const maxDurationMs = bounds.maxLeaseMs / slowestClockRate + leaseSlackMs;
-  runner.leaseEnd = Math.max(runner.leaseEnd, steadyNow + maxDurationMs);
-}
-
 export function occupantKey(task: string, run: number): string {
   return `${task}#${run}`;
 }
--- a/packages/dispatch/src/RunnerChecks.ts
+++ b/packages/dispatch/src/RunnerChecks.ts
@@ -1,7 +1,8 @@
 import type { DispatchState, StopCommand } from './DispatchState.js';
+import { extendLease } from './leases.js';
 import type { ReportHandler } from './ReportHandler.js';
 import type { Runner } from './Runner.js';
-import { extendLease, occupantKey } from './Runner.js';
+import { occupantKey } from './Runner.js';
 import { reportRunnerFault, RunnerFault } from './RunnerQuarantine.js';
 import { updateSpeedClasses } from './SpeedClasses.js';
 import type { Member, TaskGroup } from './TaskGroup.js';
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -1,4 +1,3 @@
-import { hasDeparted } from './departure.js';
 import type { DispatchState } from './DispatchState.js';
 import { incarnationKey } from './LearnedState.js';
 import type { ListedRunner } from './ListedRunner.js';
@@ -12,17 +11,10 @@
  */
 const unlistedGraceMs = 2_000;
 
-/** How long the listings have lacked an entry; monotonic times. */
-interface Absence {
-  /** First listing without a readable entry. */
-  readonly since: number;
-  /** First listing without any entry; Infinity while an unreadable one is left. */
-  removedBefore: number;
-}
-
 /** Applies the listings of the registry to the state. */
 export class RunnerListing {
-  private readonly absences = new Map<string, Absence>();
+  /** Monotonic times of the first listings without a readable entry, by runner. */
+  private readonly missingSince = new Map<string, number>();
 
   public constructor(
     private readonly state: DispatchState,
@@ -32,7 +24,7 @@
   /**
    * Applies a complete listing that was requested at `requestedAt`.
    *
-   * @param unreadableIds runners whose entries cannot be read; they are not used, and have not left
+   * @param unreadableIds runners whose entries cannot be read; they are not used
    */
   public apply(
     listed: readonly ListedRunner[],
@@ -42,9 +34,9 @@
   ): void {
     const ids = new Set(listed.map((entry) => entry.id));
     listed.forEach((entry) => this.applyEntry(entry, requestedAt, now));
-    this.absences.forEach((_absence, id) => {
+    this.missingSince.forEach((_since, id) => {
       if (!this.state.runners.has(id)) {
-        this.absences.delete(id);
+        this.missingSince.delete(id);
       }
     });
     this.state.runners.forEach((runner) => {
@@ -55,42 +47,24 @@
     updateSpeedClasses(this.state);
   }
 
+  // Says nothing about the runs of the runner, which end by its reports or with its leases.
   private recordMissing(runner: Runner, isUnreadable: boolean, now: number): void {
-    const absence = this.absences.get(runner.id) ?? { since: now, removedBefore: Infinity };
-    this.absences.set(runner.id, absence);
-    if (!isUnreadable) {
-      absence.removedBefore = Math.min(absence.removedBefore, now);
-    }
-    const isDeparted = hasDeparted(runner, absence.removedBefore, this.state.bounds);
-    if (isDeparted || now - absence.since >= unlistedGraceMs) {
+    const since = this.missingSince.get(runner.id) ?? now;
+    this.missingSince.set(runner.id, since);
+    if (now - since >= unlistedGraceMs) {
       runner.isListed = false;
-      this.logMissing(runner, absence, isDeparted, now);
-    }
-    if (isDeparted) {
-      this.reportHandler.endDepartedRuns(runner, now);
+      this.state.log.decide('runnerUnlisted', {
+        runner: runner.id,
+        isLeaving: runner.isLeaving,
+        isUnreadable,
+        tasks: runner.occupants.size,
+      });
     }
   }
 
-  private logMissing(
-    runner: Runner,
-    { removedBefore }: Absence,
-    isDeparted: boolean,
-    now: number,
-  ): void {
-    const { disconnectedAt, entryWrittenAfter } = runner;
-    this.state.log.decide('runnerUnlisted', {
-      runner: runner.id,
-      hasDeparted: isDeparted,
-      isLeaving: runner.isLeaving,
-      isUnreadable: removedBefore === Infinity,
-      entryAgeMs: roundedAge(entryWrittenAfter, removedBefore),
-      disconnectedMs: roundedAge(disconnectedAt, now),
-    });
-  }
-
   private applyEntry(entry: ListedRunner, requestedAt: number, now: number): void {
     const { log, runners } = this.state;
-    this.absences.delete(entry.id);
+    this.missingSince.delete(entry.id);
     const known = runners.get(entry.id);
     if (known === undefined) {
       runners.set(entry.id, this.createRunner(entry));
@@ -116,7 +90,6 @@
       known.departsAt = Infinity;
     }
     known.isListed = true;
-    recordWrite(known, entry);
     if (entry.processStartedAt >= knownStartedAt) {
       known.listed = entry;
       known.isEntryOutdated = false;
@@ -125,7 +98,6 @@
 
   private createRunner(entry: ListedRunner): Runner {
     const runner = new Runner(entry);
-    recordWrite(runner, entry);
     const key = incarnationKey(entry.id, entry.processStartedAt);
     const inheritedSpeed = this.state.inheritedSpeeds.get(key);
     if (inheritedSpeed !== undefined) {
@@ -135,13 +107,3 @@
     return runner;
   }
 }
-
-function recordWrite(runner: Runner, { writtenAfter = -Infinity }: ListedRunner): void {
-  runner.entryWrittenAfter = Math.max(runner.entryWrittenAfter, writtenAfter);
-}
-
-/** Whole milliseconds from one monotonic time to another; undefined if one of them is not known. */
-function roundedAge(from: number | undefined, to: number): number | undefined {
-  const ageMs = from === undefined ? Infinity : Math.round(to - from);
-  return Number.isFinite(ageMs) ? ageMs : undefined;
-}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -33,7 +33,7 @@
   PreparedRunner,
 } from './MaintenancePlan.js';
 export type { RunnerMaintenance } from './RunnerMaintenance.js';
-export { slowestClockRate } from './Runner.js';
+export { slowestClockRate } from './leases.js';
 export type { ListedRunner } from './ListedRunner.js';
 export type { Runner } from './Runner.js';
 export type { JobRun } from './JobRun.js';
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -302,7 +302,6 @@
       {
         ...this.services,
         store: this.storeAccess.store,
-        revisionTimes: this.storeAccess.monitor.revisionTimes,
         bounds: this.settings.bounds,
         counters: this.counters,
         evacuations: this.evacuations,
--- a/packages/instance/src/ObservedStore.ts
+++ b/packages/instance/src/ObservedStore.ts
@@ -3,7 +3,6 @@
 
 import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
 import { CoordinationErrorKind } from './CoordinationStore.js';
-import type { RevisionTimes } from './RevisionTimes.js';
 import type { ObservedCall, StoreReachability } from './StoreReachability.js';
 import { CallOutcome } from './StoreReachability.js';
 
@@ -16,15 +15,11 @@
   [CoordinationErrorKind.malformed]: CallOutcome.answered,
 };
 
-/**
- * Coordination store whose calls are recorded: as evidence of whether it can be reached, and of the time
- * of its revisions.
- */
+/** Coordination store whose calls are recorded as evidence of whether it can be reached. */
 export class ObservedStore implements CoordinationStore {
   public constructor(
     private readonly store: CoordinationStore,
     private readonly reachability: StoreReachability,
-    private readonly revisionTimes: RevisionTimes,
     private readonly clock: Clock,
     /** Called after each call. */
     private readonly onCallEnd: (error: CoordinationError | undefined) => void,
@@ -38,16 +33,16 @@
     this.observe(this.begin(), this.store.read(key, deadline));
 
   public readonly list: CoordinationStore['list'] = (prefix, deadline) =>
-    this.date(this.observe(this.begin(0, true), this.store.list(prefix, deadline)));
+    this.observe(this.begin(0, true), this.store.list(prefix, deadline));
 
   public readonly listPage: CoordinationStore['listPage'] = (prefix, after, deadline) =>
-    this.date(this.observe(this.begin(0, true), this.store.listPage(prefix, after, deadline)));
+    this.observe(this.begin(0, true), this.store.listPage(prefix, after, deadline));
 
   public readonly watch: CoordinationStore['watch'] = (prefix, after, waitMs, deadline) =>
     this.observe(this.begin(waitMs), this.store.watch(prefix, after, waitMs, deadline));
 
   public readonly commit: CoordinationStore['commit'] = (transaction, deadline) =>
-    this.date(this.observe(this.begin(), this.store.commit(transaction, deadline)));
+    this.observe(this.begin(), this.store.commit(transaction, deadline));
 
   public readonly grantLease: CoordinationStore['grantLease'] = (ttlMs, deadline) =>
     this.observe(this.begin(), this.store.grantLease(ttlMs, deadline));
@@ -62,18 +57,6 @@
     return this.reachability.begin(this.clock.monotonic(), waitMs, isSizeDependent);
   }
 
-  // The store has reached the revision of the answer after the request.
-  private async date<T extends { readonly revision: number } | { readonly isCommitted: false }>(
-    response: Promise<Result<T, CoordinationError>>,
-  ): Promise<Result<T, CoordinationError>> {
-    const requestedAt = this.clock.monotonic();
-    const result = await response;
-    if (result.isOk() && 'revision' in result.value) {
-      this.revisionTimes.record(result.value.revision, requestedAt);
-    }
-    return result;
-  }
-
   private async observe<T>(
     call: ObservedCall,
     response: Promise<Result<T, CoordinationError>>,
--- a/packages/instance/src/RunnerClient.ts
+++ b/packages/instance/src/RunnerClient.ts
@@ -31,8 +31,8 @@
   readonly token: number;
   /** Number up to which ended runs are stored; the runner drops them from its reports. */
   readonly acknowledgedEnd: number;
-  /** Whether to extend the leases of all runs on the runner. */
-  readonly extendsLease: boolean;
+  /** Steady time until which to extend the leases of all runs on the runner; absent: not at all. */
+  readonly leaseUntil?: number;
   /** Milliseconds that the runner may wait for the end of a run before it responds. */
   readonly waitMs: number;
 }
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -195,12 +195,17 @@
     // Another incarnation numbers its ends anew, and its clock has another origin.
     const { isConfirmed } = this;
     const acknowledgedEnd = isConfirmed ? this.unacknowledgedEnd : 0;
-    const extendsLease = isConfirmed && runner.occupants.size > 0;
+    const leaseUntil =
+      isConfirmed && runner.occupants.size > 0
+        ? this.dispatcher.grantLease(runner.id, this.steadyClock.monotonic())
+        : undefined;
     const isBusy = isConfirmed && runner.occupants.size + runner.strays.size > 0;
-    if (extendsLease) {
-      this.dispatcher.recordLeaseExtension(runner.id, this.steadyClock.monotonic());
-    }
-    const request = { token, acknowledgedEnd, extendsLease, waitMs: isBusy ? reportWaitMs : 0 };
+    const request = {
+      token,
+      acknowledgedEnd,
+      waitMs: isBusy ? reportWaitMs : 0,
+      ...(leaseUntil === undefined ? {} : { leaseUntil }),
+    };
     const deadline = this.clock.monotonic() + request.waitMs + responseTimeoutMs;
     this.isConfirmedCallOpen = isConfirmed;
     this.wasLastCallConfirmed = isConfirmed;
@@ -234,8 +239,7 @@
       const message = report.isErr() ? report.error.message : 'report of an earlier incarnation';
       owner.reportUnansweredCall(runner.id, message);
     }
-    const isDisconnected = report.isErr() && report.error.kind === RunnerErrorKind.disconnected;
-    dispatcher.recordUnansweredCall(runner.id, this.clock.monotonic(), isDisconnected);
+    dispatcher.recordUnansweredCall(runner.id, this.clock.monotonic());
     return false;
   }
 
--- a/packages/instance/src/RunnerLister.ts
+++ b/packages/instance/src/RunnerLister.ts
@@ -3,10 +3,9 @@
 import type { Result } from 'neverthrow';
 
 import type { CoordinationError } from './CoordinationStore.js';
-import type { RevisionTimes } from './RevisionTimes.js';
-import type { RegistryEntry, RunnerRegistry } from './RunnerRegistry.js';
+import type { RunnerRegistry } from './RunnerRegistry.js';
 
-/** A listing of the registry whose entries are dated. */
+/** A listing of the registry with the time of its request. */
 export interface RunnerList {
   readonly runners: readonly ListedRunner[];
   /** Ids of the runners whose entries are there but cannot be read. */
@@ -15,11 +14,10 @@
   readonly requestedAt: number;
 }
 
-/** Lists the runners, and dates the last write of each entry by revisions of the store. */
+/** Lists the runners. */
 export class RunnerLister {
   public constructor(
     private readonly registry: RunnerRegistry,
-    private readonly revisionTimes: RevisionTimes,
     private readonly clock: Clock,
   ) {}
 
@@ -27,14 +25,10 @@
   public async list(deadline: number): Promise<Result<RunnerList, CoordinationError>> {
     const requestedAt = this.clock.monotonic();
     const listing = await this.registry.list(deadline);
-    return listing.map(({ entries, unreadableIds, revision }) => {
-      this.revisionTimes.record(revision, requestedAt);
-      return { runners: entries.map((entry) => this.date(entry)), unreadableIds, requestedAt };
-    });
-  }
-
-  private date({ runner, revision }: RegistryEntry): ListedRunner {
-    const writtenAfter = this.revisionTimes.findTimeBefore(revision);
-    return writtenAfter === undefined ? runner : { ...runner, writtenAfter };
+    return listing.map(({ entries, unreadableIds }) => ({
+      runners: entries.map(({ runner }) => runner),
+      unreadableIds,
+      requestedAt,
+    }));
   }
 }
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -130,8 +130,8 @@
     if (configuration !== undefined) {
       this.configure(configuration);
     }
-    const { runners, registry, revisionTimes } = services;
-    this.runnerLister = new RunnerLister(registry, revisionTimes, clock);
+    const { runners, registry } = services;
+    this.runnerLister = new RunnerLister(registry, clock);
     this.commandSender = new CommandSender(
       this.dispatcher,
       runners,
--- a/packages/instance/src/SchedulingServices.ts
+++ b/packages/instance/src/SchedulingServices.ts
@@ -8,7 +8,6 @@
 import type { JobUpdate } from './FeedUpdateBuffer.js';
 import type { LoadLimit } from './LoadLimit.js';
 import type { MaintenanceServices } from './MaintenanceServices.js';
-import type { RevisionTimes } from './RevisionTimes.js';
 import type { RunnerClient } from './RunnerClient.js';
 import type { RunnerRegistry } from './RunnerRegistry.js';
 
@@ -16,7 +15,6 @@
 export interface SchedulingServices {
   readonly store: CoordinationStore;
   readonly registry: RunnerRegistry;
-  readonly revisionTimes: RevisionTimes;
   readonly runners: RunnerClient;
   /** Undefined if the settings name no advice service. */
   readonly advice?: AdviceClient;
--- a/packages/instance/src/StoreMonitor.ts
+++ b/packages/instance/src/StoreMonitor.ts
@@ -4,7 +4,6 @@
 import type { CoordinationStore } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
 import { ObservedStore } from './ObservedStore.js';
-import { RevisionTimes } from './RevisionTimes.js';
 import { StoreReachability } from './StoreReachability.js';
 import { StoreTiming } from './StoreTiming.js';
 
@@ -22,8 +21,6 @@
 
   public readonly reachability = new StoreReachability();
 
-  public readonly revisionTimes = new RevisionTimes();
-
   /** The store; its calls are observed. */
   public readonly store: CoordinationStore;
 
@@ -41,7 +38,7 @@
     private readonly clock: Clock,
     private readonly onError: (error: unknown) => void,
   ) {
-    this.store = new ObservedStore(store, this.reachability, this.revisionTimes, clock, (error) => {
+    this.store = new ObservedStore(store, this.reachability, clock, (error) => {
       this.lastFailure = error?.message ?? this.lastFailure;
       this.reportChange();
     });
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -34,7 +34,6 @@
 import { LoadLimit } from '../LoadLimit.js';
 import type { MaintenanceServices } from '../MaintenanceServices.js';
 import type { OperatorConfiguration } from '../OperatorConfiguration.js';
-import { RevisionTimes } from '../RevisionTimes.js';
 import { RunnerError, RunnerErrorKind } from '../RunnerClient.js';
 import type { RegistryListing } from '../RunnerRegistry.js';
 import { Scheduling } from '../Scheduling.js';
@@ -59,6 +58,8 @@
 /** RUN_LATE=outlive lets late calls reach a process that started after they were sent. */
 const lateCallsOutliveProcess = process.env.RUN_LATE === 'outlive';
 export const latencyMs = 2;
+/** Milliseconds after its last write at which the entry of a silent runner expires. */
+const entryTtlMs = 4_500;
 /** Share of its time that the clock of a runner may lose. */
 const maxClockSlowness = 0.02;
 /** Milliseconds for which two instances believe that they are the holder. */
@@ -108,11 +109,7 @@
 
   public readonly evacuations = new EvacuationRequests('evacuate/');
 
-  public readonly registry = new VirtualRegistry(
-    this.store,
-    replayBounds.entryTtlMs,
-    () => this.now,
-  );
+  public readonly registry = new VirtualRegistry(this.store, entryTtlMs, () => this.now);
 
   public readonly cutRunners = new Set<string>();
 
@@ -222,14 +219,11 @@
       wall: () => this.now + this.wallOffsetMs,
     };
     const clock = new SuspendAwareClock(steadyClock);
-    const revisionTimes = new RevisionTimes();
-    revisionTimes.record(token, clock.monotonic());
     return {
       store: this.options.wrapStore?.(this.store) ?? this.store,
       evacuations: this.evacuations,
       maintenance: this.options.maintenance,
       registry: { list: () => this.listRegistry() },
-      revisionTimes,
       runners: this.createClient(clock),
       ...(this.options.advice && { advice: this.options.advice }),
       clock,
--- a/packages/testing/src/VirtualRunnerClient.ts
+++ b/packages/testing/src/VirtualRunnerClient.ts
@@ -33,7 +33,8 @@
 interface ReportRequest {
   readonly token: number;
   readonly acknowledgedEnd: number;
-  readonly extendsLease: boolean;
+  /** Steady time, by the clock of `now`. */
+  readonly leaseUntil?: number;
   readonly waitMs: number;
 }
 
@@ -103,7 +104,9 @@
     deadline: number,
   ): Promise<Result<RunnerReport, E>> {
     const requestedAt = this.options.clock.monotonic();
-    const leaseDeadline = request.extendsLease ? this.leaseDeadline(runner) : undefined;
+    const { leaseUntil } = request;
+    const leaseDeadline =
+      leaseUntil === undefined ? undefined : this.leaseDeadline(runner, leaseUntil);
     const { acknowledgedEnd } = request;
     const sentAt = this.options.now();
     const answer = await this.call<boolean | VirtualReport | StartOutcome>(
@@ -217,12 +220,13 @@
     return this.options.isRefusing?.(runnerId) ?? false;
   }
 
-  private leaseDeadline(runner: ListedRunner): number {
+  private leaseDeadline(runner: ListedRunner, leaseUntil = Infinity): number {
     const reading = this.clockReadings.get(runner.id);
     if (reading === undefined || reading.processStartedAt !== runner.processStartedAt) {
       return 0;
     }
     const elapsedMs = (this.options.clock.monotonic() - reading.readAt) / maxClockSlowness;
-    return Math.floor(reading.clock + elapsedMs + this.options.maxLeaseMs);
+    const leaseMs = Math.min(this.options.maxLeaseMs, leaseUntil - this.options.now());
+    return Math.floor(reading.clock + elapsedMs + leaseMs);
   }
 }
--- a/packages/testing/src/replaySettings.ts
+++ b/packages/testing/src/replaySettings.ts
@@ -44,7 +44,6 @@
   maxLeaseMs: 6_000,
   farSlowdown: 3,
   evacuationMs: Infinity,
-  entryTtlMs: 4_500,
 };
 
 /** A step of one small task that does not save its progress. */
