RunnerChecks: a step of the wall clock makes no run look stalled

Cause: the clock of the dispatcher includes suspensions, measured by the wall clock, and runs ahead after a forward step. The first report after it seemed to come long after the last progress of every run, so the holder stopped the runs on all runners at once and quarantined the runners.

Change: the time by which the clock has gained on the steady clock since the last check is not counted as standstill. Runs that stand still afterwards are stopped, later by the length of the step at most.

--- a/packages/dispatch/src/RunnerChecks.ts
+++ b/packages/dispatch/src/RunnerChecks.ts
@@ -12,6 +12,8 @@
 const stallTimeoutMs = 2_500;
 /** Progress in percent of a gang member that has done its work and waits for the other members. */
 const completePercent = 100;
+/** Milliseconds by which the wall clock has to gain on the steady clock to count as a step. */
+const minClockStepMs = 50;
 /** Milliseconds after which a stop command without effect is sent again. */
 const stopRetryMs = 700;
 
@@ -30,6 +32,9 @@
 export class RunnerChecks {
   private readonly stopSentAt = new Map<string, number>();
 
+  /** Milliseconds by which the monotonic time of the last check was ahead of the steady time. */
+  private clockLeadMs: number | undefined;
+
   public constructor(
     private readonly state: DispatchState,
     private readonly lifecycle: TaskGroupLifecycle,
@@ -38,6 +43,7 @@
 
   /** @param steadyNow reading of a clock that never runs ahead; leases are judged by it */
   public run(now: number, steadyNow: number): void {
+    this.followClockStep(now, now - steadyNow);
     this.state.runners.forEach((runner) => this.checkRunner(runner, now, steadyNow));
     updateSpeedClasses(this.state);
   }
@@ -55,6 +61,20 @@
     });
   }
 
+  // No run has stood still for the time by which the monotonic clock has run ahead.
+  private followClockStep(now: number, leadMs: number): void {
+    const stepMs = leadMs - (this.clockLeadMs ?? leadMs);
+    this.clockLeadMs = leadMs;
+    if (stepMs < minClockStepMs) {
+      return;
+    }
+    this.state.runners.forEach(({ occupants }) =>
+      occupants.forEach(({ member }) => {
+        member.progressedAt = Math.min(now, member.progressedAt + stepMs);
+      }),
+    );
+  }
+
   private checkRunner(runner: Runner, now: number, steadyNow: number): void {
     if (runner.hasUnknownLease) {
       runner.hasUnknownLease = false;
