A call to an address that is none results in an error

Operators saw the links of runners end for good after an entry with a port above 65,535 or a host such as 999.1.1.1: `request` throws for such a URL, so `httpCall` rejected instead of returning an error. It returns one of the kind `invalid` now, also for a header that cannot be sent. Nothing was sent then, and it does not count as a closed connection of the runner.

Measured: the new test of httpCall fails without the change (the promise rejects) and passes with it.

--- a/packages/platform/src/HttpStoreTransport.ts
+++ b/packages/platform/src/HttpStoreTransport.ts
@@ -16,6 +16,7 @@
 const changesSchema = z.object({ revision: z.number().int(), keys: z.array(z.string()) });
 
 const readErrorKinds: Record<HttpErrorKind, StoreErrorKind> = {
+  invalid: StoreErrorKind.unavailable,
   notSent: StoreErrorKind.unavailable,
   broken: StoreErrorKind.unavailable,
   timeout: StoreErrorKind.timeout,
@@ -23,6 +24,7 @@
   tooLarge: StoreErrorKind.malformed,
 };
 const writeErrorKinds: Record<HttpErrorKind, StoreErrorKind> = {
+  invalid: StoreErrorKind.unavailable,
   notSent: StoreErrorKind.unavailable,
   broken: StoreErrorKind.unknown,
   timeout: StoreErrorKind.unknown,
--- a/packages/platform/src/httpCall.test.ts
+++ b/packages/platform/src/httpCall.test.ts
@@ -29,3 +29,20 @@
   t.true(clock.monotonic() >= extension.finalDeadline - 1);
   t.true(clock.monotonic() < extension.finalDeadline + 2_000, 'long before the idle timeout');
 });
+
+// An address that is none threw, and whoever called it ended.
+test('a call that cannot be sent results in an error', async (t) => {
+  const clock = new SystemClock();
+  const call = { method: 'GET', agent: false, deadline: clock.monotonic() + 200 } as const;
+  const calls = [
+    ...['http://127.0.0.1:65536/', 'http://999.1.1.1:80/', 'http://1.2.3.4.5:80/', ''].map(
+      (url) => ({ ...call, url }),
+    ),
+    { ...call, url: 'http://127.0.0.1:1/', headers: { 'x-name': 'a\nb' } },
+  ];
+  const results = await Promise.all(calls.map((each) => httpCall(each, clock)));
+  t.deepEqual(
+    results.map((result) => result._unsafeUnwrapErr().kind),
+    calls.map(() => HttpErrorKind.invalid),
+  );
+});
--- a/packages/platform/src/httpCall.ts
+++ b/packages/platform/src/httpCall.ts
@@ -1,4 +1,4 @@
-import type { Agent, IncomingHttpHeaders } from 'node:http';
+import type { Agent, ClientRequest, IncomingHttpHeaders } from 'node:http';
 import { request } from 'node:http';
 
 import type { Clock } from '@apricothoist/common';
@@ -7,6 +7,8 @@
 import { err, ok } from 'neverthrow';
 
 export const HttpErrorKind = {
+  /** The URL or a header cannot be sent; nothing was. */
+  invalid: 'invalid',
   /** The connection could not be established; the request was not sent. */
   notSent: 'notSent',
   /** The connection failed, or the response was truncated, after the request was sent. */
@@ -58,7 +60,34 @@
 const maxResponseBytes = 4_000_000;
 
 /** Makes one HTTP call and buffers the response. On failure the connection is destroyed. */
-export function httpCall(call: HttpCall, clock: Clock): Promise<Result<HttpResponse, HttpError>> {
+export async function httpCall(
+  call: HttpCall,
+  clock: Clock,
+): Promise<Result<HttpResponse, HttpError>> {
+  const opened = openRequest(call);
+  return opened.isErr() ? err(opened.error) : exchange(opened.value, call, clock);
+}
+
+// An address or a header that somebody else wrote may be none.
+function openRequest(call: HttpCall): Result<ClientRequest, HttpError> {
+  try {
+    const outgoing = request(call.url, {
+      method: call.method,
+      agent: call.agent,
+      headers: { ...call.headers, 'content-length': Buffer.byteLength(call.body ?? '') },
+    });
+    return ok(outgoing);
+  } catch (cause) {
+    const message = `${call.url}: ${messageOf(cause)}`;
+    return err(new HttpError(HttpErrorKind.invalid, message, { cause }));
+  }
+}
+
+function exchange(
+  outgoing: ClientRequest,
+  call: HttpCall,
+  clock: Clock,
+): Promise<Result<HttpResponse, HttpError>> {
   return new Promise((resolve) => {
     let isSent = false;
     const chunks: Buffer[] = [];
@@ -66,11 +95,6 @@
     let expectedBytes = 'unknown';
     let { deadline } = call;
     let isFinished = false;
-    const outgoing = request(call.url, {
-      method: call.method,
-      agent: call.agent,
-      headers: { ...call.headers, 'content-length': Buffer.byteLength(call.body ?? '') },
-    });
     let timer = setTimeout(expire, Math.max(0, deadline - clock.monotonic()));
     function finish(result: Result<HttpResponse, HttpError>): void {
       isFinished = true;
