No exception ends the link of a runner or the listings of a term

A job was running for ever although its runner had reported its end: an exception in one call ended the loop of the link, and nothing started it again. A start that threw had no outcome, so its run was never settled, and a listing that threw was the last one of its term, as `isListingRunners` stayed set. The loop logs the exception, counts the call as unanswered, backs off and goes on; such a start counts as one that may have been carried out; the listing is due again after its interval.

--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -72,7 +72,7 @@
       // The run must not count as ended by its lease while the call waits for the confirmation.
       this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
       const isConfirmed = await this.owner.confirmRunner(runnerId);
-      const outcome = isConfirmed ? await this.callInTurn(command, batch, attemptMs) : undefined;
+      const outcome = isConfirmed ? await this.tryCall(command, batch, attemptMs) : undefined;
       if (outcome !== undefined) {
         outcomes.push(outcome);
       }
@@ -94,6 +94,20 @@
     this.owner.wake();
   }
 
+  // A call that throws may have been sent; without an outcome its run would never be settled.
+  private async tryCall(
+    command: StartCommand,
+    batch: StartBatch,
+    attemptMs: number,
+  ): Promise<StartOutcome | undefined> {
+    try {
+      return await this.callInTurn(command, batch, attemptMs);
+    } catch (error) {
+      this.onError(error);
+      return StartOutcome.unknown;
+    }
+  }
+
   /** Resolves to undefined if the call is not sent. */
   private async callInTurn(
     command: StartCommand,
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -85,8 +85,9 @@
     private readonly random: Random,
   ) {}
 
+  /** @param onError receives what ends a single call; the link goes on after a back-off */
   public start(onError: (error: unknown) => void): void {
-    this.run().catch(onError);
+    this.run(onError).catch(onError);
   }
 
   /** Checks again whether the runner has to be called. */
@@ -151,19 +152,41 @@
     return stored > (isKnown ? this.acknowledgedEnd : 0) ? stored : 0;
   }
 
-  private async run(): Promise<void> {
+  // A link that ended would leave its runner without leases, and its ends unheard.
+  private async run(onError: (error: unknown) => void): Promise<void> {
     while (!this.isStopped) {
-      if (!this.needsCall) {
-        await this.waitForWake();
-      } else {
-        if (this.hasUnstoredEnds && this.wasLastCallConfirmed) {
-          await this.waitForWake(maxStoreWaitMs);
-        }
-        await this.requestReport();
+      try {
+        await this.runOnce();
+      } catch (error) {
+        onError(error);
+        await this.backOffAfterError();
       }
     }
   }
 
+  private async runOnce(): Promise<void> {
+    if (!this.needsCall) {
+      await this.waitForWake();
+      return;
+    }
+    if (this.hasUnstoredEnds && this.wasLastCallConfirmed) {
+      await this.waitForWake(maxStoreWaitMs);
+    }
+    await this.requestReport();
+  }
+
+  private async backOffAfterError(): Promise<void> {
+    this.isConfirmedCallOpen = false;
+    this.dispatcher.recordUnansweredCall(this.runner.id, this.clock.monotonic());
+    this.endConfirmation();
+    await this.backOff();
+  }
+
+  private async backOff(): Promise<void> {
+    await delay(this.random.jitter(this.retryMs, retryJitter));
+    this.retryMs = Math.min(maxRetryMs, this.retryMs * 2);
+  }
+
   private get hasUnstoredEnds(): boolean {
     return this.runner.processedEndNumber > this.owner.lastStoredEnd(this.runner.id);
   }
@@ -218,8 +241,7 @@
     }
     this.endConfirmation();
     this.owner.wake();
-    await delay(this.random.jitter(this.retryMs, retryJitter));
-    this.retryMs = Math.min(maxRetryMs, this.retryMs * 2);
+    await this.backOff();
   }
 
   // Returns false if the call counts as unanswered.
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -446,14 +446,16 @@
     this.runnerLister
       .list(requestedAt + StoreTiming.callTimeoutMs)
       .then((runners) => {
-        this.isListingRunners = false;
         if (runners.isOk() && !this.isStopped) {
           this.applyRunnerList(runners.value);
           this.updateLinks();
           this.wake();
         }
       })
-      .catch((error: unknown) => this.logError(error));
+      .catch((error: unknown) => this.logError(error))
+      .finally(() => {
+        this.isListingRunners = false;
+      });
   }
 
   private applyRunnerList({ runners, unreadableIds, requestedAt }: RunnerList): void {
