--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -221,7 +221,7 @@
       statusCache: this.statusCache,
       evacuations: this.evacuations,
       configurationFollower: this.configurationFollower,
-      log: this.services.log,
+      services: this.services,
       storeAccess: this.storeAccess,
       forwardedRequests: this.forwardedRequests,
     });
--- a/packages/instance/src/RunnerRegistry.ts
+++ b/packages/instance/src/RunnerRegistry.ts
@@ -20,6 +20,8 @@
 
 /** Registry of the available runners. */
 export interface RunnerRegistry {
+  /** Number of entries that could not be read since the process started, by revision. */
+  readonly invalidEntries: number;
   /** @param deadline monotonic milliseconds */
   list(deadline: number): Promise<Result<RegistryListing, CoordinationError>>;
 }
--- a/packages/instance/src/instanceStatus.ts
+++ b/packages/instance/src/instanceStatus.ts
@@ -7,6 +7,7 @@
 import type { ForwardedRequestHandler } from './ForwardedRequestHandler.js';
 import type { JobStatusCache } from './JobStatusCache.js';
 import { idleMaintenanceStatus } from './MaintenanceWaves.js';
+import type { RunnerRegistry } from './RunnerRegistry.js';
 import type { Scheduling } from './Scheduling.js';
 import type { StoreAccess } from './StoreAccess.js';
 
@@ -21,7 +22,7 @@
   readonly statusCache: JobStatusCache;
   readonly evacuations: EvacuationRequests;
   readonly configurationFollower: ConfigurationFollower;
-  readonly log: EventLog;
+  readonly services: { readonly log: EventLog; readonly registry: RunnerRegistry };
   readonly storeAccess: StoreAccess;
   readonly forwardedRequests: ForwardedRequestHandler;
 }
@@ -42,6 +43,7 @@
     runs_overlapping: overlaps,
     starts_unsettled: unsettledStarts,
     runners_crashed: crashes,
+    runner_entries_invalid: parts.services.registry.invalidEntries,
     jobs_given_up: crashingJobs,
     ...adviceMetrics(parts.counters, parts.scheduling?.dispatcher.advice.summarize(parts.now)),
     scheduling: parts.isScheduling ? 1 : 0,
@@ -62,7 +64,7 @@
     configuration_version: configurationFollower.current?.version ?? 0,
     configuration_age_milliseconds: Math.round(configurationFollower.ageMs),
     configuration_bytes: configurationFollower.sizeBytes,
-    log_lines_dropped: parts.log.droppedLines,
+    log_lines_dropped: parts.services.log.droppedLines,
     ...parts.storeAccess.status,
     forwarded_requests_served: forwardedRequests.counts.served,
     forwarded_requests_rejected: forwardedRequests.counts.rejected,
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -228,7 +228,7 @@
       store: this.options.wrapStore?.(this.store) ?? this.store,
       evacuations: this.evacuations,
       maintenance: this.options.maintenance,
-      registry: { list: () => this.listRegistry() },
+      registry: { invalidEntries: 0, list: () => this.listRegistry() },
       revisionTimes,
       runners: this.createClient(clock),
       ...(this.options.advice && { advice: this.options.advice }),
