--- a/packages/instance/src/departureProof.test.ts
+++ b/packages/instance/src/departureProof.test.ts
@@ -105,7 +105,7 @@
   },
 );
 
-// Five tasks ran twice, started again in one round by the holder of their first runs: their runner
+// All tasks of a runner ran twice, started again in one round by the holder of their first runs: it
 // had left the registry and refused connections, and worked on.
 test.serial('work on a runner that has left the registry is not started beside it', async (t) => {
   for (const leftAfterMs of moments) {
