A runner that leaves when its announced time is over has not crashed

Since leases alone end the runs of a runner that has left, such an end is also looked at as a crash. A drain is listed up to one interval after its announcement, so a runner that leaves in time, as after a short notice, seemed to have gone before, and its tasks were suspects.

The earliest departure is now dated from the listing before.

--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -75,6 +75,9 @@
   /** Monotonic time from which a draining runner may be gone; Infinity while it stays. */
   public departsAt = Infinity;
 
+  /** Lower bound of `departsAt`: the listing shows a drain later than it was announced. */
+  public earliestDepartureAt = Infinity;
+
   /** Ids of jobs with runs that failed here since the last successful run. */
   public readonly failedJobs = new Set<string>();
 
--- a/packages/dispatch/src/RunnerCrashes.test.ts
+++ b/packages/dispatch/src/RunnerCrashes.test.ts
@@ -77,6 +77,25 @@
   t.is(crashesOf(fixture).length, 1);
 });
 
+// Its tasks were held to blame, as the drain was listed up to one interval after its announcement.
+test('a runner that leaves when its announced time is over has not crashed', (t) => {
+  const listIntervalMs = 700;
+  const minRemainingMs = 2_000;
+  const fixture = startOne();
+  fixture.dispatcher.updateRunners([listedRunner('r1')], fixture.now);
+  const drainsAt = fixture.now + 10;
+  fixture.now += listIntervalMs;
+  const draining = listedRunner('r1', { isDraining: true, minRemainingMs });
+  fixture.dispatcher.updateRunners([draining], fixture.now);
+  fixture.report('r1', [runningTask(0)]);
+  fixture.now = drainsAt + minRemainingMs;
+  fixture.dispatcher.recordUnansweredCall('r1', fixture.now);
+  fixture.dispatcher.updateRunners([], fixture.now);
+  fixture.step(leaseMs);
+  t.is(fixture.dispatcher.state.counters.ends.leaseExpired, 1);
+  t.deepEqual(crashesOf(fixture), []);
+});
+
 // Cut networks looked like crashes at the same age, and innocent tasks were given up.
 test('a crash is certain only with another process at the address of the runner', (t) => {
   [false, true].forEach((isReplaced) => {
--- a/packages/dispatch/src/RunnerCrashes.ts
+++ b/packages/dispatch/src/RunnerCrashes.ts
@@ -211,7 +211,8 @@
 
 // A runner that goes before its announced departure has crashed.
 function isPlannedEnd(runner: Runner, lostAt: number): boolean {
-  return runner.isLeaving && (runner.departsAt === Infinity || lostAt >= runner.departsAt);
+  const { isLeaving, earliestDepartureAt } = runner;
+  return isLeaving && (earliestDepartureAt === Infinity || lostAt >= earliestDepartureAt);
 }
 
 /**
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -16,6 +16,9 @@
   /** Monotonic times of the first listings without a readable entry, by runner. */
   private readonly missingSince = new Map<string, number>();
 
+  /** Monotonic time of the request for the listing before. */
+  private formerRequestedAt = -Infinity;
+
   public constructor(
     private readonly state: DispatchState,
     private readonly reportHandler: ReportHandler,
@@ -34,6 +37,7 @@
   ): void {
     const ids = new Set(listed.map((entry) => entry.id));
     listed.forEach((entry) => this.applyEntry(entry, requestedAt, now));
+    this.formerRequestedAt = requestedAt;
     this.missingSince.forEach((_since, id) => {
       if (!this.state.runners.has(id)) {
         this.missingSince.delete(id);
@@ -81,13 +85,16 @@
       this.reportHandler.restart(known, entry.processStartedAt, now);
     }
     if (entry.isDraining && !known.listed.isDraining) {
-      known.departsAt = requestedAt + (entry.minRemainingMs ?? Infinity);
+      const remainingMs = entry.minRemainingMs ?? Infinity;
+      known.departsAt = requestedAt + remainingMs;
+      known.earliestDepartureAt = this.formerRequestedAt + remainingMs;
       log.decide('runnerDraining', { runner: entry.id, minRemainingMs: entry.minRemainingMs });
     }
     if (entry.isDraining) {
       known.drainedIncarnation = entry.processStartedAt;
     } else {
       known.departsAt = Infinity;
+      known.earliestDepartureAt = Infinity;
     }
     known.isListed = true;
     if (entry.processStartedAt >= knownStartedAt) {
