An unreadable job record ended every leadership term

Cause: records of jobs, of their progress and the learned state were parsed as JSON and used as they were. A record such as `null`, `{}`, a deeply nested value or a progress with more occurrences than its job threw, or looped for good, while the holder applied the stored state: it resigned, and so did each successor. In the watch of accepted jobs the same record ended the watch for good, so that later jobs were never scheduled. A job whose progress could not be read was started again from its first run.

Change: stored records are decoded by schemas with ranges.

--- a/packages/dispatch/src/RunCounters.ts
+++ b/packages/dispatch/src/RunCounters.ts
@@ -34,4 +34,7 @@
 
   /** Starts that were not sent because their permit would have lapsed on the way. */
   public lapsedPermits = 0;
+
+  /** Revisions of stored records that could not be read. */
+  public unreadableRecords = 0;
 }
--- a/packages/instance/src/JobService.ts
+++ b/packages/instance/src/JobService.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@apricothoist/common';
-import type { JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
+import type { JobSpecification, Queue } from '@apricothoist/dispatch';
 import { isFinal, JobState } from '@apricothoist/dispatch';
 
 import type { CoordinationStore } from './CoordinationStore.js';
@@ -14,7 +14,7 @@
 import { backOff, callDeadline } from './requestBackoff.js';
 import type { StateResult, SubmitResult } from './requestResults.js';
 import { Lookup } from './requestResults.js';
-import { parseRecord } from './StoredJob.js';
+import { decodeRecord, progressStateSchema } from './storedRecords.js';
 import type { StoreOutlook } from './StoreOutlook.js';
 import { StoreReach } from './StoreReachability.js';
 
@@ -128,9 +128,12 @@
     if (progress.isErr()) {
       return { lookup: Lookup.unknown, source: progress.error.message };
     }
-    const record = parseRecord<ProgressRecord>(progress.value?.value);
-    if (record !== undefined) {
-      return { lookup: Lookup.found, state: record.state, source: 'stored progress' };
+    const value = progress.value?.value;
+    if (value !== undefined) {
+      return decodeRecord(progressStateSchema, value).match(
+        ({ state }): StateResult => ({ lookup: Lookup.found, state, source: 'stored progress' }),
+        ({ message }) => ({ lookup: Lookup.unknown, source: `progress unreadable: ${message}` }),
+      );
     }
     const job = await this.store.read(StoreKeys.job(id), callDeadline(this.clock, deadline));
     if (job.isErr()) {
--- a/packages/instance/src/LearnedStateStore.ts
+++ b/packages/instance/src/LearnedStateStore.ts
@@ -1,12 +1,13 @@
 import type { Clock } from '@apricothoist/common';
-import type { Dispatcher, LearnedState } from '@apricothoist/dispatch';
+import type { Dispatcher } from '@apricothoist/dispatch';
 import type { Result } from 'neverthrow';
 
 import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
 import type { StrongestCoresRecord } from './StoredJob.js';
-import { parseRecord } from './StoredJob.js';
+import { decodeRecord, learnedStateSchema } from './storedRecords.js';
 import { StoreTiming } from './StoreTiming.js';
+import type { UnreadableRecords } from './UnreadableRecords.js';
 
 /** Milliseconds between writes: little is learned in a shorter time, and each write has a cost. */
 const writeIntervalMs = 4_000;
@@ -26,6 +27,7 @@
     private readonly clock: Clock,
     private readonly token: number,
     private readonly strongestCores: () => number,
+    private readonly unreadable: UnreadableRecords,
     private readonly onFailure: (error: CoordinationError) => void,
   ) {
     this.writtenAt = clock.monotonic();
@@ -37,10 +39,14 @@
       this.onFailure(found.error);
       return;
     }
-    const learnedState = parseRecord<LearnedState>(found.value?.value);
-    if (learnedState !== undefined) {
-      this.dispatcher.restoreLearnedState(learnedState, this.clock.monotonic());
+    const item = found.value;
+    if (item?.value === undefined) {
+      return;
     }
+    decodeRecord(learnedStateSchema, item.value).match(
+      (state) => this.dispatcher.restoreLearnedState(state, this.clock.monotonic()),
+      (error) => this.unreadable.report(item.key, item.revision, error),
+    );
   }
 
   /** Stores the learned state once per interval; the write fails unless the token is current. */
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -11,6 +11,7 @@
 import { FeedUpdateBuffer, isIdle } from './FeedUpdateBuffer.js';
 import type { CoordinationError } from './CoordinationStore.js';
 import { DecisionEvents, JobEvents } from './events.js';
+import type { HeldJobs } from './HeldJobs.js';
 import { LearnedStateStore } from './LearnedStateStore.js';
 import { MaintenanceWaves } from './MaintenanceWaves.js';
 import { StoredJobLoader } from './StoredJobLoader.js';
@@ -29,6 +30,7 @@
 import { RunnerLink } from './RunnerLink.js';
 import type { SchedulingServices } from './SchedulingServices.js';
 import { StoreTiming } from './StoreTiming.js';
+import { UnreadableRecords } from './UnreadableRecords.js';
 
 /** Milliseconds between scheduling steps while no event arrives. */
 const idleStepIntervalMs = 100;
@@ -83,6 +85,8 @@
 
   private readonly jobLoader: StoredJobLoader;
 
+  private readonly unreadable: UnreadableRecords;
+
   private loadTimer: NodeJS.Timeout | undefined;
 
   private isStopped = false;
@@ -142,7 +146,15 @@
     );
     const { advice } = this.dispatcher;
     this.adviceLoop = new AdviceLoop(advice, services, this);
-    this.jobLoader = new StoredJobLoader(this.dispatcher, clock, steadyClock, log);
+    this.unreadable = new UnreadableRecords(log, counters);
+    this.jobLoader = new StoredJobLoader(
+      store,
+      this.dispatcher,
+      clock,
+      steadyClock,
+      this.unreadable,
+      () => !this.isStopped,
+    );
     const followSettings = { watchMs, watchesPerRead: Infinity };
     this.watch = new PrefixFollower(store, clock, random, StoreKeys.jobPrefix, followSettings);
     this.watch.onItems(({ items, requestedAt }) => {
@@ -155,6 +167,7 @@
       clock,
       termToken,
       services.strongestCores,
+      this.unreadable,
       ({ kind, message }) => log.emit(JobEvents.learnedStateNotStored, { kind, message }),
     );
     this.maintenance =
@@ -202,6 +215,11 @@
     return !this.isStopped && token === this.termToken ? token : undefined;
   }
 
+  /** Jobs that are not scheduled, since a record of them cannot be read. */
+  public get heldJobs(): HeldJobs {
+    return this.jobLoader.held;
+  }
+
   public start(): void {
     this.run().catch((error: unknown) => {
       this.services.log.emit(JobEvents.unexpectedError, { message: messageOf(error) });
@@ -382,6 +400,7 @@
     this.updateLinks();
     this.adviceLoop.wake();
     this.removeExpiredJobs().catch((error: unknown) => this.logError(error));
+    this.heldJobs.readIfDue().catch((error: unknown) => this.logError(error));
     if (this.token !== undefined) {
       this.publishChanges();
       this.learnedState.writeIfDue().catch((error: unknown) => this.logError(error));
--- a/packages/instance/src/StoredJob.ts
+++ b/packages/instance/src/StoredJob.ts
@@ -1,4 +1,4 @@
-import type { LearnedState, JobSpecification, ProgressRecord, Queue } from '@apricothoist/dispatch';
+import type { JobSpecification, Queue } from '@apricothoist/dispatch';
 
 /** Immutable record of a job, stored at its submission. */
 export interface StoredJob {
@@ -7,13 +7,7 @@
   readonly queue: Queue;
 }
 
-type StoredRecord =
-  | StoredJob
-  | ProgressRecord
-  | HolderRecord
-  | LearnedState
-  | StrongestCoresRecord
-  | MaintenanceRecord;
+type StoredRecord = HolderRecord | StrongestCoresRecord | MaintenanceRecord;
 
 /** Parses a stored record; returns undefined if it is malformed. */
 export function parseRecord<T extends StoredRecord>(value: string | undefined): T | undefined {
--- a/packages/instance/src/StoredJobLoader.ts
+++ b/packages/instance/src/StoredJobLoader.ts
@@ -1,12 +1,15 @@
 import type { Clock } from '@apricothoist/common';
-import type { Dispatcher, ProgressRecord, StoredProgress } from '@apricothoist/dispatch';
-import type { EventLog } from '@apricothoist/telemetry';
+import type { Dispatcher, StoredProgress } from '@apricothoist/dispatch';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 
-import type { StoredItem } from './CoordinationStore.js';
-import { JobEvents } from './events.js';
+import type { CoordinationStore, StoredItem } from './CoordinationStore.js';
+import type { JobRecords } from './HeldJobs.js';
+import { HeldJobs } from './HeldJobs.js';
 import { parseJobKey, StoreKeys } from './keys.js';
 import type { StoredJob } from './StoredJob.js';
-import { parseRecord } from './StoredJob.js';
+import { decodeRecord, progressSchema, storedJobSchema } from './storedRecords.js';
+import type { UnreadableRecords } from './UnreadableRecords.js';
 
 /** Confirmed deletion of the records of a job. */
 interface Removal {
@@ -20,26 +23,25 @@
 export class StoredJobLoader {
   private readonly removals = new Map<string, Removal>();
 
+  /** Jobs of which a record cannot be read. */
+  public readonly held: HeldJobs;
+
   public constructor(
+    store: CoordinationStore,
     private readonly dispatcher: Dispatcher,
     private readonly clock: Clock,
     private readonly steadyClock: Clock,
-    private readonly log: EventLog,
-  ) {}
+    private readonly unreadable: UnreadableRecords,
+    isNeeded: () => boolean,
+  ) {
+    this.held = new HeldJobs(store, clock, isNeeded, (id, records) => this.loadHeld(id, records));
+  }
 
   /** Loads all stored jobs and progress records at a takeover. */
   public loadAll(jobs: readonly StoredItem[], progress: readonly StoredItem[]): void {
-    const records = new Map<string, StoredProgress>();
-    const leasesExtendedUntil = this.steadyClock.monotonic();
-    progress.forEach(({ key, value, revision }) => {
-      const record = parseRecord<ProgressRecord>(value);
-      if (record === undefined) {
-        this.log.emit(JobEvents.recordUnreadable, { key });
-        return;
-      }
-      const id = key.slice(StoreKeys.progressPrefix.length);
-      records.set(id, { progress: record, version: revision, leasesExtendedUntil });
-    });
+    const records = new Map(
+      progress.map((item) => [item.key.slice(StoreKeys.progressPrefix.length), item]),
+    );
     this.loadItems(jobs, records);
   }
 
@@ -68,35 +70,68 @@
   }
 
   /** Loads jobs before cancellations: a cancellation may precede its job in the same list. */
-  private loadItems(
-    items: readonly StoredItem[],
-    records?: ReadonlyMap<string, StoredProgress>,
-  ): void {
+  private loadItems(items: readonly StoredItem[], records?: ReadonlyMap<string, StoredItem>): void {
     const cancellations: string[] = [];
-    items.forEach(({ key, value }) => {
-      const { id, isCancellation } = parseJobKey(key);
-      if (isCancellation) {
+    items.forEach((item) => {
+      const { id, isCancellation } = parseJobKey(item.key);
+      if (this.held.has(id)) {
+        this.held.recheck(id);
+      } else if (isCancellation) {
         cancellations.push(id);
-      } else if (value !== undefined) {
-        this.loadJob(key, value, records?.get(id));
+      } else if (item.value !== undefined && !this.loadJob(id, item, records?.get(id))) {
+        this.held.add(id);
       }
     });
     cancellations.forEach((id) => this.dispatcher.cancelJob(id, this.clock.monotonic()));
   }
 
-  private loadJob(key: string, value: string, record: StoredProgress | undefined): void {
-    const stored = parseRecord<StoredJob>(value);
-    if (stored === undefined) {
-      this.log.emit(JobEvents.recordUnreadable, { key });
-      return;
+  private loadHeld(id: string, { job, progress, isCancelled }: JobRecords): boolean {
+    const isLoaded = job !== undefined && this.loadJob(id, job, progress);
+    if (isLoaded && isCancelled) {
+      this.dispatcher.cancelJob(id, this.clock.monotonic());
+    }
+    return isLoaded;
+  }
+
+  /** Returns false if a record cannot be read; a job that is known already stays as it is. */
+  private loadJob(id: string, item: StoredItem, progress: StoredItem | undefined): boolean {
+    if (this.dispatcher.state.jobs.has(id)) {
+      return true;
+    }
+    const decoded = decodeJob(id, item);
+    if (decoded.isErr()) {
+      this.unreadable.report(item.key, item.revision, decoded.error);
+      return false;
     }
-    const ageMs = Math.max(0, this.clock.wall() - stored.specification.acceptedAt);
-    this.dispatcher.addJob(
-      stored.specification,
-      stored.queue,
-      this.clock.monotonic() - ageMs,
-      this.clock.monotonic(),
-      record,
+    const { specification, queue } = decoded.value;
+    const record = progress && this.decodeProgress(progress, specification.occurrences);
+    if (record?.isErr() === true) {
+      this.unreadable.report(progress?.key ?? '', progress?.revision ?? 0, record.error);
+      return false;
+    }
+    const ageMs = Math.max(0, this.clock.wall() - specification.acceptedAt);
+    const now = this.clock.monotonic();
+    this.dispatcher.addJob(specification, queue, now - ageMs, now, record?.unwrapOr(undefined));
+    return true;
+  }
+
+  private decodeProgress(
+    { value = '', revision }: StoredItem,
+    occurrences: number,
+  ): Result<StoredProgress, Error> {
+    const leasesExtendedUntil = this.steadyClock.monotonic();
+    return decodeRecord(progressSchema, value).andThen((progress) =>
+      progress.occurrences > occurrences
+        ? err(new Error(`occurrences: the job has only ${occurrences}`))
+        : ok({ progress, version: revision, leasesExtendedUntil }),
     );
   }
 }
+
+function decodeJob(id: string, { value = '' }: StoredItem): Result<StoredJob, Error> {
+  return decodeRecord(storedJobSchema, value).andThen((stored) =>
+    stored.specification.id === id
+      ? ok(stored)
+      : err(new Error('specification.id: not the id of the key')),
+  );
+}
--- a/packages/instance/src/feedAddress.ts
+++ b/packages/instance/src/feedAddress.ts
@@ -1,5 +1,7 @@
 const coresField = 'cores';
 const anyHost = 'ws://host';
+/** Host and port, without the characters that begin another part of a URL. */
+const addressPattern = /^[^/?#@\\\s]+:\d{1,5}$/;
 
 /** URL with which a follower with `cores` cores connects to the feed at `host:port`. */
 export function feedUrl(feedAddress: string, cores: number): string {
@@ -11,3 +13,9 @@
   const cores = Number(new URL(path ?? '/', anyHost).searchParams.get(coresField));
   return Number.isFinite(cores) && cores > 0 ? cores : 0;
 }
+
+/** Whether this is `host:port` of a feed to which a connection can be made. */
+export function isFeedAddress(text: string): boolean {
+  const url = `ws://${text}/`;
+  return addressPattern.test(text) && URL.canParse(url);
+}
