One exception ended a loop for good

Cause: the loops of the election, of the watches (holder, operator's keys, accepted jobs) and of the advice service were promises whose rejection was logged and nothing more. One exception, for example of a URL that cannot be parsed or of a listener, ended following the list, competing for the key or asking for permits until the process or the term ended. Two flags (removal of expired records, write of the learned state) stayed set.

Items that a listener failed to take over are read again. A holder that cannot begin its term gives the key back instead of letting its lease run out.

ConfigurationFollower.test.ts passes a handler that fails the test on an error; its checks are unchanged.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,6 +11,8 @@
 export { LatencyHistogram } from './LatencyHistogram.js';
 export { createIdentifier, digestOf, rendezvousOwner, rendezvousWeight } from './Identifier.js';
 export { PeriodicTask } from './PeriodicTask.js';
+export { SupervisedLoop } from './SupervisedLoop.js';
+export type { LoopErrorHandler } from './SupervisedLoop.js';
 export { LayerError, messageOf } from './LayerError.js';
 export { Secret } from './Secret.js';
 export { delay } from './delay.js';
--- a/packages/dispatch/src/RunCounters.ts
+++ b/packages/dispatch/src/RunCounters.ts
@@ -37,4 +37,7 @@
 
   /** Revisions of stored records that could not be read. */
   public unreadableRecords = 0;
+
+  /** Errors that nothing expected (J790), those that a loop has outlived included. */
+  public unexpectedErrors = 0;
 }
--- a/packages/instance/src/AdviceLoop.ts
+++ b/packages/instance/src/AdviceLoop.ts
@@ -1,5 +1,5 @@
-import type { Clock, Random } from '@apricothoist/common';
-import { delay } from '@apricothoist/common';
+import type { Clock, LoopErrorHandler, Random } from '@apricothoist/common';
+import { delay, SupervisedLoop } from '@apricothoist/common';
 import type {
   AdviceAnswer,
   AdviceExchange,
@@ -67,14 +67,16 @@
 
   private isFailing = false;
 
+  private readonly loop = new SupervisedLoop('advice', () => this.advise());
+
   public constructor(
     private readonly advice: AdviceExchange,
     private readonly services: AdviceLoopServices,
     private readonly owner: AdviceLoopOwner,
   ) {}
 
-  public start(onError: (error: unknown) => void): void {
-    this.run().catch(onError);
+  public start(onError: LoopErrorHandler): void {
+    this.loop.start(onError);
   }
 
   /** Looks for a question again, after a scheduling step. */
@@ -84,20 +86,18 @@
     }
   }
 
-  private async run(): Promise<void> {
+  private async advise(): Promise<void> {
     const { advice: client } = this.services;
-    while (!this.isStopped) {
-      const now = this.services.clock.monotonic();
-      const question = this.owner.token === undefined ? undefined : this.advice.chooseQuestion(now);
-      if (question === undefined) {
-        await this.waitForWake();
-        await delay(Math.max(0, now + searchIntervalMs - this.services.clock.monotonic()));
-      } else if (client === undefined) {
-        this.recordFailure(question, 'the settings name no advice service');
-        await delay(maxRetryMs);
-      } else {
-        await this.ask(client, question);
-      }
+    const now = this.services.clock.monotonic();
+    const question = this.owner.token === undefined ? undefined : this.advice.chooseQuestion(now);
+    if (question === undefined) {
+      await this.waitForWake();
+      await delay(Math.max(0, now + searchIntervalMs - this.services.clock.monotonic()));
+    } else if (client === undefined) {
+      this.recordFailure(question, 'the settings name no advice service');
+      await delay(maxRetryMs);
+    } else {
+      await this.ask(client, question);
     }
   }
 
@@ -171,6 +171,7 @@
 
   public [Symbol.dispose](): void {
     this.isStopped = true;
+    this.loop[Symbol.dispose]();
     this.resumeLoop?.();
   }
 }
--- a/packages/instance/src/ConfigurationFollower.test.ts
+++ b/packages/instance/src/ConfigurationFollower.test.ts
@@ -37,7 +37,7 @@
   const applied = new Promise((resolve) => {
     follower.onApply(({ version }) => version === 2 && resolve(version));
   });
-  follower.start();
+  follower.start((error) => t.fail(String(error)));
   await applied;
   t.is(decoded, 2);
 });
@@ -82,7 +82,7 @@
   );
   let oldestMs = 0;
   try {
-    follower.start();
+    follower.start((error) => t.fail(String(error)));
     // The first read and the first watch.
     await timers.tickAsync(largeListMs + 1_200);
     for (let elapsedMs = 0; elapsedMs < 120_000; elapsedMs += 10) {
--- a/packages/instance/src/ConfigurationFollower.ts
+++ b/packages/instance/src/ConfigurationFollower.ts
@@ -1,5 +1,5 @@
-import type { Clock, Event, Random } from '@apricothoist/common';
-import { Emitter, messageOf } from '@apricothoist/common';
+import type { Clock, Event, LoopErrorHandler, Random } from '@apricothoist/common';
+import { Emitter } from '@apricothoist/common';
 import type { Result } from 'neverthrow';
 
 import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
@@ -82,10 +82,8 @@
     return this.clock.monotonic() - this.confirmedAt;
   }
 
-  public start(): void {
-    this.follower.start((error) => {
-      this.unreadable.fire(`configuration follower failed: ${messageOf(error)}`);
-    });
+  public start(onError: LoopErrorHandler): void {
+    this.follower.start(onError);
   }
 
   private confirm(requestedAt: number): void {
--- a/packages/instance/src/Election.ts
+++ b/packages/instance/src/Election.ts
@@ -1,5 +1,5 @@
-import type { Clock, Event, Random } from '@apricothoist/common';
-import { delay, Emitter } from '@apricothoist/common';
+import type { Clock, Event, LoopErrorHandler, Random } from '@apricothoist/common';
+import { delay, Emitter, SupervisedLoop } from '@apricothoist/common';
 import type { Result } from 'neverthrow';
 
 import type { CoordinationError, CoordinationStore, StoredItems } from './CoordinationStore.js';
@@ -83,6 +83,11 @@
 
   private isStopped = false;
 
+  private readonly loops = [
+    new SupervisedLoop('election', () => this.takePart()),
+    new SupervisedLoop('watch of the holder', () => this.watchHolder()),
+  ];
+
   public constructor(
     private readonly store: CoordinationStore,
     private readonly clock: Clock,
@@ -102,9 +107,8 @@
     return this.clock.monotonic() < this.leaseValidUntil ? this.term?.token : undefined;
   }
 
-  public start(onError: (error: unknown) => void): void {
-    this.run().catch(onError);
-    this.watchHolder().catch(onError);
+  public start(onError: LoopErrorHandler): void {
+    this.loops.forEach((loop) => loop.start(onError));
   }
 
   /** Releases the key to another instance and does not compete for it during the back-off. */
@@ -125,15 +129,13 @@
     }
   }
 
-  private async run(): Promise<void> {
-    while (!this.isStopped) {
-      if (this.term !== undefined) {
-        await this.renew();
-      } else if (this.isFollowing || this.clock.monotonic() < this.backOffUntil) {
-        await this.waitForRelease();
-      } else {
-        await this.checkHolder();
-      }
+  private async takePart(): Promise<void> {
+    if (this.term !== undefined) {
+      await this.renew();
+    } else if (this.isFollowing || this.clock.monotonic() < this.backOffUntil) {
+      await this.waitForRelease();
+    } else {
+      await this.checkHolder();
     }
   }
 
@@ -154,22 +156,20 @@
 
   // Learns at once that the key is free, while the feed of a holder that vanished is still silent.
   private async watchHolder(): Promise<void> {
-    while (!this.isStopped) {
-      const { holderRevision } = this;
-      if (this.term !== undefined || holderRevision === 0 || this.isReleased) {
-        await delay(pollIntervalMs);
-      } else {
-        const deadline = this.clock.monotonic() + holderWatchMs + StoreTiming.callTimeoutMs;
-        const changes = await this.store.watch(
-          StoreKeys.holder,
-          holderRevision,
-          holderWatchMs,
-          deadline,
-        );
-        this.applyHolderChanges(changes, holderRevision);
-        await delay(this.random.jitter(renewRetryMs, StoreTiming.retryJitter));
-      }
+    const { holderRevision } = this;
+    if (this.term !== undefined || holderRevision === 0 || this.isReleased) {
+      await delay(pollIntervalMs);
+      return;
     }
+    const deadline = this.clock.monotonic() + holderWatchMs + StoreTiming.callTimeoutMs;
+    const changes = await this.store.watch(
+      StoreKeys.holder,
+      holderRevision,
+      holderWatchMs,
+      deadline,
+    );
+    this.applyHolderChanges(changes, holderRevision);
+    await delay(this.random.jitter(renewRetryMs, StoreTiming.retryJitter));
   }
 
   private applyHolderChanges(
@@ -301,12 +301,23 @@
     this.leaseId = lease.value;
     this.leaseValidUntil = requestedAt + leaseMs - leaseMarginMs;
     this.term = { token: committed.value.isCommitted ? committed.value.revision : 0 };
-    this.termStarted.fire(this.term);
+    await this.beginTerm(this.term);
+  }
+
+  // A holder that cannot begin its term must not go on renewing the lease.
+  private async beginTerm(term: LeadershipTerm): Promise<void> {
+    try {
+      this.termStarted.fire(term);
+    } catch (error) {
+      await this.transferLeadership('the term could not begin');
+      throw error;
+    }
   }
 
   /** Ends the lease, so that a successor need not wait for its expiry. */
   public async [Symbol.asyncDispose](): Promise<void> {
     this.isStopped = true;
+    this.loops.forEach((loop) => loop[Symbol.dispose]());
     const wasHolder = this.term !== undefined;
     this.resign('instance stops');
     if (wasHolder) {
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from '@apricothoist/common';
-import { Disposables } from '@apricothoist/common';
+import { Disposables, messageOf } from '@apricothoist/common';
 import type { DispatchBounds } from '@apricothoist/dispatch';
 import { RunCounters } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
@@ -123,8 +123,9 @@
   /** Unknown data centres whose evacuation was requested and logged. */
   private readonly unknownDataCentres = new Set<string>();
 
-  private readonly onError = (error: unknown): void => {
-    this.services.log.emit(JobEvents.unexpectedError, { message: String(error) });
+  private readonly onError = (error: unknown, loop?: string): void => {
+    this.counters.unexpectedErrors += 1;
+    this.services.log.emit(JobEvents.unexpectedError, { loop, message: messageOf(error) });
   };
 
   private isStopping = false;
@@ -229,7 +230,7 @@
 
   public async start(): Promise<void> {
     await this.feedServer.listen(this.settings.feedHost, this.settings.feedPort);
-    this.configurationFollower.start();
+    this.configurationFollower.start(this.onError);
     this.election.start(this.onError);
     this.services.log.emit(JobEvents.started, { feedPort: this.settings.feedPort });
   }
--- a/packages/instance/src/LearnedStateStore.ts
+++ b/packages/instance/src/LearnedStateStore.ts
@@ -56,7 +56,6 @@
       return;
     }
     this.writtenAt = now;
-    this.isWriting = true;
     const value = JSON.stringify(this.dispatcher.exportLearnedState(now));
     const expect = [{ key: StoreKeys.holder, revision: this.token }];
     const strongest: StrongestCoresRecord = { cores: this.strongestCores() };
@@ -64,8 +63,12 @@
       { key: StoreKeys.learnedState, value },
       { key: StoreKeys.strongestCores, value: JSON.stringify(strongest) },
     ];
-    const result = await this.store.commit({ expect, writes }, now + StoreTiming.callTimeoutMs);
-    this.isWriting = false;
+    this.isWriting = true;
+    const result = await this.store
+      .commit({ expect, writes }, now + StoreTiming.callTimeoutMs)
+      .finally(() => {
+        this.isWriting = false;
+      });
     if (result.isErr()) {
       this.onFailure(result.error);
     }
--- a/packages/instance/src/PrefixFollower.ts
+++ b/packages/instance/src/PrefixFollower.ts
@@ -1,5 +1,5 @@
-import type { Clock, Event, Random } from '@apricothoist/common';
-import { delay, Emitter } from '@apricothoist/common';
+import type { Clock, Event, LoopErrorHandler, Random } from '@apricothoist/common';
+import { delay, Emitter, SupervisedLoop } from '@apricothoist/common';
 
 import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
 import { CoordinationErrorKind } from './CoordinationStore.js';
@@ -50,42 +50,51 @@
   /** Whether a read is in progress beside the watch. */
   private isVerifying = false;
 
+  private readonly loopName: string;
+
+  private readonly loop: SupervisedLoop;
+
+  private onError: LoopErrorHandler = () => {};
+
   public constructor(
     private readonly store: CoordinationStore,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly prefix: string,
     private readonly settings: FollowSettings,
-  ) {}
+  ) {
+    this.loopName = `watch of ${prefix}`;
+    this.loop = new SupervisedLoop(this.loopName, () => this.follow());
+  }
 
   /** @param known revision up to which the items are known; undefined to read them first */
-  public start(onError: (error: unknown) => void, known?: number): void {
-    this.follow(known, onError).catch(onError);
+  public start(onError: LoopErrorHandler, known?: number): void {
+    this.revision = known;
+    this.onError = onError;
+    this.loop.start((error, loop) => {
+      // Items that a listener has failed to take over are delivered again.
+      this.revision = undefined;
+      onError(error, loop);
+    });
   }
 
-  private async follow(
-    known: number | undefined,
-    onError: (error: unknown) => void,
-  ): Promise<void> {
-    this.revision = known;
-    while (!this.isStopped) {
-      const { revision } = this;
-      if (revision !== undefined && this.watchesSinceRead >= this.settings.watchesPerRead) {
-        this.verify(onError);
-      }
-      const hasSucceeded = await (revision === undefined ? this.read() : this.watch(revision));
-      if (!hasSucceeded && !this.isStopped) {
-        await delay(this.random.jitter(StoreTiming.retryMs, StoreTiming.retryJitter));
-      }
+  private async follow(): Promise<void> {
+    const { revision } = this;
+    if (revision !== undefined && this.watchesSinceRead >= this.settings.watchesPerRead) {
+      this.verify();
+    }
+    const hasSucceeded = await (revision === undefined ? this.read() : this.watch(revision));
+    if (!hasSucceeded && !this.isStopped) {
+      await delay(this.random.jitter(StoreTiming.retryMs, StoreTiming.retryJitter));
     }
   }
 
   // Reads everything while the watch goes on: the read may take as long as several watches.
-  private verify(onError: (error: unknown) => void): void {
+  private verify(): void {
     if (!this.isVerifying) {
       this.isVerifying = true;
       this.readAll()
-        .catch(onError)
+        .catch((error: unknown) => this.onError(error, this.loopName))
         .finally(() => {
           this.isVerifying = false;
         });
@@ -137,6 +146,7 @@
 
   public [Symbol.dispose](): void {
     this.isStopped = true;
+    this.loop[Symbol.dispose]();
     this.itemsReceived[Symbol.dispose]();
     this.callEnded[Symbol.dispose]();
   }
--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -222,7 +222,7 @@
 
   public start(): void {
     this.run().catch((error: unknown) => {
-      this.services.log.emit(JobEvents.unexpectedError, { message: messageOf(error) });
+      this.logError(error, 'scheduling');
       this.resign('unexpected error in the scheduling loop');
     });
   }
@@ -343,8 +343,8 @@
     this.runnersListedAt = runners.requestedAt;
     this.jobLoader.loadAll(jobs, progress);
     this.isLoading = false;
-    this.watch.start((error) => this.logError(error), revision);
-    this.adviceLoop.start((error) => this.logError(error));
+    this.watch.start((error, loop) => this.logError(error, loop), revision);
+    this.adviceLoop.start((error, loop) => this.logError(error, loop));
     this.updateLinks();
     log.emit(JobEvents.storedStateLoaded, {
       token: this.termToken,
@@ -426,8 +426,9 @@
       return;
     }
     this.isRemovingJobs = true;
-    const removed = await this.writer.remove(expiredJobIds);
-    this.isRemovingJobs = false;
+    const removed = await this.writer.remove(expiredJobIds).finally(() => {
+      this.isRemovingJobs = false;
+    });
     const removedIds = [...removed.keys()];
     this.jobLoader.recordRemoved(removed);
     this.dispatcher.forgetJobs(removedIds);
@@ -516,8 +517,9 @@
     }
   }
 
-  private logError(error: unknown): void {
-    this.services.log.emit(JobEvents.unexpectedError, { message: messageOf(error) });
+  private logError(error: unknown, loop?: string): void {
+    this.services.counters.unexpectedErrors += 1;
+    this.services.log.emit(JobEvents.unexpectedError, { loop, message: messageOf(error) });
   }
 
   public [Symbol.dispose](): void {
