Odd messages between instances were taken over as they were

Change: updates, requests and answers are decoded by schemas before anything is done with them.

Updates are limited to 16 MB, deadlines of requests to a minute.

--- a/packages/instance/src/FeedClient.ts
+++ b/packages/instance/src/FeedClient.ts
@@ -1,11 +1,11 @@
 import type { Clock, Event } from '@apricothoist/common';
 import { Emitter, messageOf } from '@apricothoist/common';
-import { unpack } from 'msgpackr';
 import { WebSocket } from 'ws';
 
 import type { HolderLocation } from './Election.js';
 import { feedUrl } from './feedAddress.js';
-import { isFeedAnswer } from './FeedRequest.js';
+import { decodeFeedUpdate } from './feedMessages.js';
+import { isFeedAnswer, unpackMessage } from './FeedRequest.js';
 import { HolderRequests } from './HolderRequests.js';
 import type { FeedUpdate, JobStatusCache } from './JobStatusCache.js';
 
@@ -18,6 +18,9 @@
 /** Milliseconds between checks for the idle timeout: a fraction of it. */
 const checkIntervalMs = 250;
 
+/** Largest update in bytes: a snapshot of several hundred thousand open jobs. */
+const maxUpdateBytes = 16_000_000;
+
 /** Receives the feed of the scheduling instance, over one connection at a time. */
 export class FeedClient implements Disposable {
   private readonly changed = new Emitter<{ isConnected: boolean; reason: string }>();
@@ -62,6 +65,7 @@
     const socket = new WebSocket(feedUrl(location.feedAddress, this.cores), {
       handshakeTimeout: connectTimeoutMs,
       perMessageDeflate: false,
+      maxPayload: maxUpdateBytes,
     });
     this.socket = socket;
     this.receivedAt = this.clock.monotonic();
@@ -81,17 +85,17 @@
       return;
     }
     this.receivedAt = this.clock.monotonic();
-    try {
-      const message: unknown = unpack(data);
-      if (isFeedAnswer(message)) {
-        this.requests.receive(message);
-        return;
-      }
-      this.apply(message as FeedUpdate);
-    } catch (error) {
-      this.drop(socket, `unreadable update: ${messageOf(error)}`);
+    const message = unpackMessage(data);
+    if (isFeedAnswer(message)) {
+      this.requests.receive(message);
+      return;
+    }
+    const update = decodeFeedUpdate(message);
+    if (update.isErr()) {
+      this.drop(socket, `unreadable update: ${update.error.message}`);
       return;
     }
+    this.apply(update.value);
     if (!this.isConnected) {
       this.isConnected = true;
       this.requests.connect((frame) => trySend(socket, frame));
--- a/packages/instance/src/FeedRequest.ts
+++ b/packages/instance/src/FeedRequest.ts
@@ -49,22 +49,27 @@
   readonly rejection?: string;
 }
 
-export function isFeedAnswer(message: unknown): message is FeedAnswer {
-  return typeof (message as FeedAnswer | undefined)?.answerTo === 'number';
-}
-
-/** Returns undefined for a message of an unknown kind, which is ignored. */
-export function parseFeedRequest(data: Buffer): FeedRequest | undefined {
+/** Decoded frame; undefined if it cannot be read. */
+export function unpackMessage(data: Buffer): unknown {
   try {
-    const message = unpack(data) as Partial<FeedRequest> | null;
-    const isRequest =
-      typeof message?.request === 'number' &&
-      typeof message.leftMs === 'number' &&
-      typeof message.requestVersion === 'number' &&
-      typeof message.body === 'object';
-    return isRequest ? (message as FeedRequest) : undefined;
+    return unpack(data);
   } catch {
-    // The feed goes on; the sender learns nothing and treats the outcome as unknown.
+    // The receiver logs it as a message of no known kind, or ignores it.
     return undefined;
   }
 }
+
+export function isFeedAnswer(message: unknown): message is FeedAnswer {
+  return typeof (message as FeedAnswer | null | undefined)?.answerTo === 'number';
+}
+
+/** Returns undefined for a message of an unknown kind, which is ignored; the body is not checked. */
+export function parseFeedRequest(data: Buffer): FeedRequest | undefined {
+  const message = unpackMessage(data) as Partial<FeedRequest> | null | undefined;
+  const isRequest =
+    typeof message?.request === 'number' &&
+    Number.isFinite(message.leftMs) &&
+    typeof message.requestVersion === 'number' &&
+    typeof message.body === 'object';
+  return isRequest ? (message as FeedRequest) : undefined;
+}
--- a/packages/instance/src/ForwardedRequestHandler.ts
+++ b/packages/instance/src/ForwardedRequestHandler.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from '@apricothoist/telemetry';
 
 import { JobEvents } from './events.js';
+import { decodeForwardedRequest } from './feedMessages.js';
 import type { FeedAnswer, FeedRequest, ForwardedRequest, ForwardedResult } from './FeedRequest.js';
 import { feedRequestVersion, ForwardedOperation } from './FeedRequest.js';
 import type { JobService } from './JobService.js';
@@ -10,6 +11,8 @@
 const maxOpenRequests = 512;
 /** Milliseconds of a deadline that are reserved for the way of the answer. */
 const answerTransitMs = 20;
+/** Longest time in milliseconds that a request may take; clients wait for seconds. */
+const maxLeftMs = 60_000;
 
 type Handler<Operation extends ForwardedOperation> = (
   jobs: JobService,
@@ -45,13 +48,20 @@
   ) {}
 
   public async handle({ requestVersion, request, leftMs, body }: FeedRequest): Promise<FeedAnswer> {
-    const deadline = this.clock.monotonic() + leftMs - answerTransitMs;
-    const isKnown = requestVersion <= feedRequestVersion && Object.hasOwn(handlers, body.operation);
-    const rejection = isKnown ? this.findRejection() : 'unknown operation or version';
-    if (rejection !== undefined) {
+    const deadline = this.clock.monotonic() + Math.min(leftMs, maxLeftMs) - answerTransitMs;
+    const isKnown =
+      requestVersion <= feedRequestVersion && Object.hasOwn(handlers, operationOf(body));
+    const decoded = decodeForwardedRequest(body);
+    const fault = decoded.isErr() ? decoded.error.message : undefined;
+    const rejection = isKnown ? (fault ?? this.findRejection()) : 'unknown operation or version';
+    if (rejection !== undefined || decoded.isErr()) {
       this.counts.rejected += 1;
-      return { answerTo: request, rejection };
+      return { answerTo: request, rejection: rejection ?? 'unreadable' };
     }
+    return { answerTo: request, result: await this.serve(decoded.value, deadline) };
+  }
+
+  private async serve(body: ForwardedRequest, deadline: number): Promise<ForwardedResult> {
     this.counts.served += 1;
     this.openRequests += 1;
     try {
@@ -62,7 +72,7 @@
         job: 'id' in body ? body.id : body.specification.id,
         ...describe(result),
       });
-      return { answerTo: request, result };
+      return result;
     } finally {
       this.openRequests -= 1;
     }
@@ -83,3 +93,7 @@
     ? { outcome: result.state.lookup, reason: result.state.source }
     : { outcome: result.cancel };
 }
+
+function operationOf(body: Partial<ForwardedRequest> | null): string {
+  return String(body?.operation);
+}
--- a/packages/instance/src/HolderRequests.ts
+++ b/packages/instance/src/HolderRequests.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@apricothoist/common';
 import { pack } from 'msgpackr';
 
+import { decodeForwardedResult } from './feedMessages.js';
 import type { FeedAnswer, ForwardedRequest, ForwardedResult } from './FeedRequest.js';
 import { feedRequestVersion, maxRequestBytes } from './FeedRequest.js';
 import type { HolderReport } from './StoreReachability.js';
@@ -107,14 +108,15 @@
   }
 
   /** Answers to requests that are no longer open are ignored. */
-  public receive({ answerTo, result, rejection = 'rejected' }: FeedAnswer): void {
-    this.openRequests
-      .get(answerTo)
-      ?.settle(
-        result === undefined
-          ? { outcome: ForwardOutcome.notTaken, reason: rejection }
-          : { outcome: ForwardOutcome.answered, result },
-      );
+  public receive({ answerTo, result, rejection }: FeedAnswer): void {
+    this.openRequests.get(answerTo)?.settle(
+      result === undefined
+        ? { outcome: ForwardOutcome.notTaken, reason: String(rejection ?? 'rejected') }
+        : decodeForwardedResult(result).match<Forwarding>(
+            (decoded) => ({ outcome: ForwardOutcome.answered, result: decoded }),
+            ({ message }) => ({ outcome: ForwardOutcome.lost, reason: `unreadable: ${message}` }),
+          ),
+    );
   }
 
   private exchange(body: ForwardedRequest, deadline: number): Promise<Forwarding> {
--- a/packages/instance/src/storedRecords.ts
+++ b/packages/instance/src/storedRecords.ts
@@ -55,7 +55,7 @@
   validityMs: durationMs,
 });
 
-const queueSchema = z.object({
+export const queueSchema = z.object({
   name: z.string(),
   service: z.string(),
   priority: z.number(),
@@ -78,7 +78,7 @@
   return steps.reduce((sum, step) => sum + step.count, 0) * occurrences;
 }
 
-const specificationSchema = z
+export const specificationSchema = z
   .object({
     id: z.string(),
     queue: z.string(),
