An odd record of the holder ended the election, or was waited for for good

Cause: the record of the holder was parsed and used as it was. `null`, or an address with a port above 65,535, threw in the election of each instance that read it, which then never competed again. One that is no JSON was competed for as an absent key, which could never succeed: nobody scheduled any more.

Change: the record is decoded with its address.

Evidence: the test "a holder record that no instance has written is replaced" plays nine records and fails with the former code. leaseTiming.test.ts gave '' as the address of its instances, which no instance has; it now gives one that can be, with the same checks.

--- a/packages/instance/src/Election.ts
+++ b/packages/instance/src/Election.ts
@@ -7,8 +7,9 @@
 import { StoreKeys } from './keys.js';
 import type { LeaseTiming } from './LeaseTiming.js';
 import type { HolderRecord } from './StoredJob.js';
-import { parseRecord } from './StoredJob.js';
+import { decodeRecord, holderSchema } from './storedRecords.js';
 import { StoreTiming } from './StoreTiming.js';
+import type { UnreadableRecord } from './UnreadableRecords.js';
 
 /** Timeout of a renewal in milliseconds: above the 316 ms of the slowest supported store. */
 const renewTimeoutMs = 450;
@@ -55,6 +56,11 @@
   /** Fires when another instance is found to hold the key. */
   public readonly onHolderFound: Event<HolderLocation> = this.holderFound.event;
 
+  private readonly unreadable = new Emitter<UnreadableRecord>();
+
+  /** Fires each time when the record of the holder is found to be unreadable. */
+  public readonly onUnreadable: Event<UnreadableRecord> = this.unreadable.event;
+
   private readonly doubtChanged = new Emitter<boolean>();
 
   /**
@@ -243,11 +249,7 @@
     const item = found.value;
     this.isReleased = false;
     this.holderRevision = item?.revision ?? 0;
-    const holder = parseRecord<HolderRecord>(item?.value);
-    if (item !== undefined && holder !== undefined) {
-      if (holder.instance !== this.self.instance) {
-        this.holderFound.fire({ ...holder, token: item.revision });
-      }
+    if (item?.value !== undefined && this.isHeldElsewhere(item.value, item.revision)) {
       await delay(this.random.jitter(pollIntervalMs / 2, StoreTiming.retryJitter));
       return;
     }
@@ -257,22 +259,41 @@
       return;
     }
     await delay(this.random.fraction() * StoreTiming.retryMs + electionDelayMs.value);
-    if (electionDelayMs.value > 0 && (await this.isTaken())) {
+    const revision = item?.revision ?? absentRevision;
+    if (electionDelayMs.value > 0 && (await this.isTaken(revision))) {
       return;
     }
     if (!this.isStopped) {
-      await this.acquire();
+      await this.acquire(revision);
     }
   }
 
+  // A record that cannot be read is of no instance: its writer has replaced the one of a holder,
+  // whose term has thereby ended, and nothing might ever remove it.
+  private isHeldElsewhere(value: string, revision: number): boolean {
+    return decodeRecord(holderSchema, value).match(
+      (holder) => {
+        if (holder.instance !== this.self.instance) {
+          this.holderFound.fire({ ...holder, token: revision });
+        }
+        return true;
+      },
+      (error) => {
+        this.unreadable.fire({ key: StoreKeys.holder, revision, error });
+        return false;
+      },
+    );
+  }
+
   // Whether a stronger instance took the key during the election delay.
-  private async isTaken(): Promise<boolean> {
+  private async isTaken(revision: number): Promise<boolean> {
     const deadline = this.clock.monotonic() + StoreTiming.callTimeoutMs;
     const found = await this.store.read(StoreKeys.holder, deadline);
-    return found.isErr() || found.value !== undefined;
+    return found.isErr() || (found.value?.revision ?? absentRevision) !== revision;
   }
 
-  private async acquire(): Promise<void> {
+  /** @param revision of the key that was read: absent, or unreadable */
+  private async acquire(revision: number): Promise<void> {
     const { leaseMs } = this.timing;
     const requestedAt = this.clock.monotonic();
     const lease = await this.store.grantLease(leaseMs, requestedAt + StoreTiming.callTimeoutMs);
@@ -285,7 +306,7 @@
       value: JSON.stringify(this.self),
       lease: lease.value,
     };
-    const expect = [{ key: StoreKeys.holder, revision: absentRevision }];
+    const expect = [{ key: StoreKeys.holder, revision }];
     const committed = await this.store.commit(
       { expect, writes: [write] },
       this.clock.monotonic() + StoreTiming.callTimeoutMs,
@@ -326,6 +347,7 @@
     this.termStarted[Symbol.dispose]();
     this.termEnded[Symbol.dispose]();
     this.holderFound[Symbol.dispose]();
+    this.unreadable[Symbol.dispose]();
     this.doubtChanged[Symbol.dispose]();
   }
 }
--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -31,6 +31,7 @@
 import { Scheduling } from './Scheduling.js';
 import { StoreAccess } from './StoreAccess.js';
 import { StrongestCores } from './StrongestCores.js';
+import { UnreadableRecords } from './UnreadableRecords.js';
 
 /** Settings of a job instance. */
 export interface InstanceSettings {
@@ -271,6 +272,8 @@
         this.feedServer.publishDoubt();
       }
     });
+    const unreadable = new UnreadableRecords(log, this.counters);
+    this.election.onUnreadable((record) => unreadable.report(record));
     this.election.onHolderFound((location) => this.feedClient.connect(location));
     this.feedClient.onChange(({ isConnected, reason }) =>
       log.emit(isConnected ? JobEvents.feedConnected : JobEvents.feedLost, { reason }),
--- a/packages/instance/src/LearnedStateStore.ts
+++ b/packages/instance/src/LearnedStateStore.ts
@@ -45,7 +45,7 @@
     }
     decodeRecord(learnedStateSchema, item.value).match(
       (state) => this.dispatcher.restoreLearnedState(state, this.clock.monotonic()),
-      (error) => this.unreadable.report(item.key, item.revision, error),
+      (error) => this.unreadable.report({ ...item, error }),
     );
   }
 
--- a/packages/instance/src/StoredJobLoader.ts
+++ b/packages/instance/src/StoredJobLoader.ts
@@ -100,13 +100,13 @@
     }
     const decoded = decodeJob(id, item);
     if (decoded.isErr()) {
-      this.unreadable.report(item.key, item.revision, decoded.error);
+      this.unreadable.report({ ...item, error: decoded.error });
       return false;
     }
     const { specification, queue } = decoded.value;
     const record = progress && this.decodeProgress(progress, specification.occurrences);
-    if (record?.isErr() === true) {
-      this.unreadable.report(progress?.key ?? '', progress?.revision ?? 0, record.error);
+    if (progress !== undefined && record?.isErr() === true) {
+      this.unreadable.report({ ...progress, error: record.error });
       return false;
     }
     const ageMs = Math.max(0, this.clock.wall() - specification.acceptedAt);
--- a/packages/instance/src/leaseTiming.test.ts
+++ b/packages/instance/src/leaseTiming.test.ts
@@ -91,7 +91,7 @@
     store,
     clock,
     new Random(name.length),
-    { instance: name, feedAddress: '' },
+    { instance: name, feedAddress: '127.0.0.1:1' },
     // The feed of a holder that lost its power stays open without a sign.
     () => isFollowing,
     async () => ok(0),
--- a/packages/instance/src/loopFaults.test.ts
+++ b/packages/instance/src/loopFaults.test.ts
@@ -140,3 +140,34 @@
   deployment.takeOver();
   t.true(await deployment.runUntilCompleted(10_000));
 });
+
+/** Values that another writer may leave under the key of the holder, without a lease. */
+const oddHolders = [
+  'no JSON',
+  'null',
+  '5',
+  '{}',
+  '['.repeat(200_000),
+  '{"instance":"other","feedAddress":"127.0.0.1:99999"}',
+  '{"instance":"other","feedAddress":"999.1.1.1:80"}',
+  '{"instance":"other","feedAddress":"a/b#c:80"}',
+  '{"instance":["other"],"feedAddress":"127.0.0.1:1"}',
+];
+
+// Such a record ended the election of each instance, or was waited for without end.
+test.serial('a holder record that no instance has written is replaced', async (t) => {
+  for (const value of oddHolders) {
+    await play(async (timers) => {
+      const store = new VirtualCoordinationStore();
+      const revision = store.put(StoreKeys.holder, value);
+      await using election = createElection(store, timers, 'sound');
+      const reported = new Set<number>();
+      election.onUnreadable((record) => reported.add(record.revision));
+      election.onHolderFound(({ feedAddress }) => t.fail(feedAddress));
+      election.start((error) => t.fail(String(error)));
+      await timers.tickAsync(3_000);
+      t.true((election.token ?? 0) > revision, value.slice(0, 60));
+      t.deepEqual([...reported], [revision]);
+    });
+  }
+});
