--- a/packages/dispatch/src/RunCounters.ts
+++ b/packages/dispatch/src/RunCounters.ts
@@ -33,4 +33,10 @@
 
   /** Starts that were not sent because their permit would have lapsed on the way. */
   public lapsedPermits = 0;
+
+  /** Revisions of stored records that could not be read. */
+  public unreadableRecords = 0;
+
+  /** Errors that nothing expected (J790), those that a loop has outlived included. */
+  public unexpectedErrors = 0;
 }
