--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -9,6 +9,7 @@
   CallFate,
   TaskBehaviour,
   VirtualCall,
+  VirtualRunnerClientOptions,
   VirtualRunnerOptions,
 } from '@apricothoist/testing';
 import {
@@ -87,6 +88,7 @@
   readonly advice?: AdviceClient;
   readonly capacity?: Resources;
   readonly decideFate?: (call: VirtualCall) => CallFate;
+  readonly alterReport?: VirtualRunnerClientOptions<RunnerError>['alterReport'];
   readonly queue?: Queue;
   readonly durationMs?: number;
   readonly behave?: (command: StartCommand) => Partial<TaskBehaviour>;
@@ -383,11 +385,13 @@
   }
 
   private createClient(clock: Clock): VirtualRunnerClient<RunnerError> {
+    const { alterReport } = this.options;
     return new VirtualRunnerClient(this.pool, {
       clock,
       now: () => this.now,
       maxLeaseMs: replayBounds.maxLeaseMs,
       decideFate: this.options.decideFate ?? ((): CallFate => delivered),
+      ...(alterReport && { alterReport }),
       trace: (call, text) => this.trace(call.runnerId, JSON.stringify(call), text),
       isCut: (runnerId) => this.cutRunners.has(runnerId),
       isRefusing: (runnerId) => this.refusingRunners.has(runnerId),
--- a/packages/testing/src/VirtualRunnerClient.ts
+++ b/packages/testing/src/VirtualRunnerClient.ts
@@ -25,6 +25,8 @@
   readonly isRefusing?: (runnerId: string) => boolean;
   /** Whether a late call is also executed by a process that started after it was sent. */
   readonly lateCallsOutliveProcess: boolean;
+  /** Replaces the report that a runner sends to the instance with a fencing token. */
+  readonly alterReport?: (runnerId: string, report: VirtualReport, token: number) => VirtualReport;
   /** Receives a line for each call that is sent and for each that is executed. */
   readonly trace?: (call: VirtualCall, text: string) => void;
   readonly createError: (kind: VirtualCallErrorKind, message: string) => E;
@@ -114,7 +116,11 @@
         target.report(now),
       request.waitMs,
     );
-    return this.toError(answer, runner.id).map((report) => ({ ...report, requestedAt }));
+    const { alterReport } = this.options;
+    return this.toError(answer, runner.id).map((report) => ({
+      ...(alterReport?.(runner.id, report, request.token) ?? report),
+      requestedAt,
+    }));
   }
 
   // Undefined stands for no answer, false for a token that is too low, a text for a refusal.
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -7,6 +7,7 @@
 export { VirtualRunner } from './VirtualRunner.js';
 export type { VirtualRunnerOptions } from './VirtualRunner.js';
 export { VirtualRunnerClient } from './VirtualRunnerClient.js';
+export type { VirtualRunnerClientOptions } from './VirtualRunnerClient.js';
 export { VirtualRunnerPool } from './VirtualRunnerPool.js';
 export type { VirtualRunRecord } from './VirtualRunRecord.js';
 export { MemoryStore } from './MemoryStore.js';
