endAssumptions: listings and entries of draining runners

Cause: one listing without its entry ends the runs on a draining runner that closed a connection.

Change: one test plays four wrong listings and entries for the draining runners of a data centre: one listing that lacks them after a reset, or while they are cut off past their remaining time; entries that another writer calls draining; entries copied by another writer, which dates their last write anew.

--- a/packages/instance/src/endAssumptions.test.ts
+++ b/packages/instance/src/endAssumptions.test.ts
@@ -10,23 +10,40 @@
 
 const dataCentres = ['a', 'b'];
 const taskCount = 16;
-const durationMs = 11_000;
+const durationMs = 17_000;
 const heartbeatMs = 1_500;
+/** Milliseconds for which a runner refuses connections after it has closed those that were open. */
+const resetMs = 30;
+
+type Play = (
+  deployment: VirtualDeployment,
+  ids: readonly string[],
+  unregistered: Set<string>,
+) => void;
 
 /** An observation that is wrong once while tasks are at work in both data centres. */
 interface WrongObservation {
   readonly title: string;
   /** Largest number of runners whose runs may be taken to have ended. */
   readonly runners: number;
-  readonly play?: (deployment: VirtualDeployment, ids: readonly string[]) => void;
+  /** Gets the busy runners of a data centre, and the set of those that cannot reach the registry. */
+  readonly play?: Play;
+  /** Milliseconds that the runners of the data centre remain if they drain. */
+  readonly remainingMs?: number;
   readonly alterReport?: (report: Report) => Report;
 }
 
 /** The same for each runner of a data centre. */
 const each =
-  (play: (deployment: VirtualDeployment, id: string) => unknown) =>
-  (deployment: VirtualDeployment, ids: readonly string[]): void =>
-    ids.forEach((id) => play(deployment, id));
+  (play: (deployment: VirtualDeployment, id: string, unregistered: Set<string>) => unknown): Play =>
+  (deployment, ids, unregistered): void =>
+    ids.forEach((id) => play(deployment, id, unregistered));
+
+/** Closes the connections to a runner, which serves again a little later. */
+function reset({ refusingRunners }: VirtualDeployment, id: string): void {
+  refusingRunners.add(id);
+  setTimeout(() => refusingRunners.delete(id), resetMs);
+}
 
 const overwrite = (change: Parameters<VirtualDeployment['registry']['overwrite']>[1]) =>
   each(({ registry }, id) => registry.overwrite(id, change, false));
@@ -114,9 +131,47 @@
   },
 ];
 
+/** The same of runners that drain, or are said to. */
+const drainingObservations: readonly Omit<WrongObservation, 'runners'>[] = [
+  {
+    title: 'a listing lacks draining runners whose connections were reset',
+    remainingMs: 15_000,
+    play: each((deployment, id) => {
+      deployment.registry.idsToOmit.add(id);
+      reset(deployment, id);
+    }),
+  },
+  {
+    title: 'a listing lacks draining runners that are cut off past their remaining time',
+    remainingMs: 1_000,
+    play: each(({ registry, refusingRunners }, id) => {
+      registry.idsToOmit.add(id);
+      refusingRunners.add(id);
+    }),
+  },
+  {
+    title: 'a listing lacks runners that are cut off after another writer called them draining',
+    play: each(({ registry, refusingRunners }, id) => {
+      // Until the next heartbeat.
+      setTimeout(() => registry.overwrite(id, { isDraining: true, minRemainingMs: 0 }, false), 150);
+      setTimeout(() => refusingRunners.add(id), 900);
+      setTimeout(() => registry.idsToOmit.add(id), 1_000);
+    }),
+  },
+  {
+    title: 'entries of draining runners that are cut off are copied before they expire',
+    remainingMs: 1_000,
+    play: each(({ registry, refusingRunners }, id, unregistered) => {
+      unregistered.add(id);
+      refusingRunners.add(id);
+      setTimeout(() => registry.overwrite(id, {}, false), 2_500);
+    }),
+  },
+];
+
 /** Runners with runs that were started again elsewhere while they were at work. */
 async function runnersHit(
-  { play, alterReport }: WrongObservation,
+  { play, alterReport, remainingMs }: Omit<WrongObservation, 'runners'>,
   isTakenOver: boolean,
 ): Promise<string[]> {
   let alteredId: string | undefined;
@@ -133,20 +188,33 @@
     },
   });
   const { pool, registry } = deployment;
-  pool.all.forEach(({ id }) => {
-    registry.write(id);
-    setInterval(() => {
+  const unregistered = new Set<string>();
+  const write = (id: string): void => {
+    if (!unregistered.has(id)) {
       registry.unreadableIds.delete(id);
       registry.write(id);
-    }, heartbeatMs);
+    }
+  };
+  pool.all.forEach(({ id }) => {
+    write(id);
+    setInterval(() => write(id), heartbeatMs);
   });
   const size = { cpu: 1_000, memoryMb: 1_000, accelerators: 2 };
   deployment.submit('00000000000000aa', [{ count: taskCount, declaredMs: durationMs, size }]);
   deployment.takeOver();
-  await deployment.run(heartbeatMs * 2 - 100);
+  // Past half of their work, so that they are not moved off draining runners.
+  await deployment.run(heartbeatMs * 6 - 100);
   const busyIds = [...new Set(pool.records.map(({ runnerId }) => runnerId))];
   const ids = busyIds.filter((id) => pool.get(id).entry.dataCentre === dataCentres[0]);
-  play?.(deployment, ids);
+  if (remainingMs !== undefined) {
+    ids.forEach((id) => {
+      deployment.drainingRunners.add(id);
+      deployment.announcedEnds.set(id, deployment.now + remainingMs);
+      write(id);
+    });
+    await deployment.run(heartbeatMs);
+  }
+  play?.(deployment, ids, unregistered);
   if (alterReport !== undefined) {
     // So that the tasks start elsewhere.
     deployment.drainingRunners.add(busyIds[0] ?? '');
@@ -173,6 +241,22 @@
   });
 });
 
+// One listing ended the runs on all draining runners of a data centre.
+test.serial('no wrong listing or entry alone stands for departures', async (t) => {
+  const hit: Record<string, readonly string[]> = {};
+  for (const observation of drainingObservations) {
+    hit[`${observation.title}, by a holder that started the runs`] = await runnersHit(
+      observation,
+      false,
+    );
+    hit[`${observation.title}, by a successor`] = await runnersHit(observation, true);
+  }
+  t.deepEqual(
+    Object.entries(hit).filter(([, runnerIds]) => runnerIds.length > 0),
+    [],
+  );
+});
+
 // The former holder may have been suspended while its call was on its way.
 test.serial('a call of the former holder that is late does not outlast the leases', async (t) => {
   for (const lateMs of [500, 2_000, 5_500, 6_500, 9_000]) {
