A machine that one list lacks is neither gone nor up again

Operators would see a wave shown as completed although one of its machines never had its maintenance, or one machine more down than the wave allows.

Cause: a single list decided. A wave without waiting machines is completed for good, and a machine that the list lacked did not wait; nor did it count as down, whether its own call or that of a former holder had taken it down. Of the same class as the departures of runners: an absence that others report, once, was taken for a fact.

Change: MachineInventory keeps the machines of all lists of a term. One that a list lacks counts as existing and down until all lists of 10 s have lacked it; so does one that the stored record shows as begun and that no list of the term has contained.

Evidence: found by reading; no record shows it. Both new tests failed before: "completed" in place of "running" after lists of one second without the last machine, and two machines down in place of one after a takeover. A machine that has really gone now holds its wave back for 10 s more.

--- a/packages/instance/src/MaintenanceWaves.test.ts
+++ b/packages/instance/src/MaintenanceWaves.test.ts
@@ -287,3 +287,31 @@
   t.is(waves.machines.maxDown, 2);
   t.is(waves.machines.done.length, all.length);
 });
+
+// A wave was shown as completed, and never continued, after one list that lacked its last machine.
+test.serial('lists that lack a machine for a second do not complete its wave', async (t) => {
+  using waves = new Waves();
+  waves.machines.unlisted.add('m4');
+  waves.request('1', { machines: ['m4'] });
+  await waves.run(1_000);
+  t.is(await waves.status('1'), 'running');
+  waves.machines.unlisted.clear();
+  await waves.run(5_000);
+  t.deepEqual(waves.machines.done, ['1 m4']);
+  t.is(await waves.status('1'), 'completed');
+});
+
+// A second machine was taken down beside the first, which was down and not listed.
+test.serial('a machine that is down when a list lacks it keeps its place', async (t) => {
+  using waves = new Waves();
+  waves.request('1', {});
+  await waves.run(600);
+  const [first = ''] = waves.machines.done.map((name) => name.slice('1 '.length));
+  waves.takeOver();
+  waves.machines.unlisted.add(first);
+  await waves.run(1_000);
+  waves.machines.unlisted.clear();
+  await waves.run(20_000);
+  t.is(waves.machines.maxDown, 1);
+  t.is(await waves.status('1'), 'completed');
+});
--- a/packages/instance/src/MaintenanceWaves.ts
+++ b/packages/instance/src/MaintenanceWaves.ts
@@ -12,6 +12,7 @@
 
 import type { CoordinationStore } from './CoordinationStore.js';
 import { JobEvents } from './events.js';
+import { MachineInventory } from './MachineInventory.js';
 import type { MaintenancePlatform } from './MachineClient.js';
 import { MaintenanceOutcome } from './MachineClient.js';
 import type { MaintenanceServices } from './MaintenanceServices.js';
@@ -63,6 +64,8 @@
 
   private readonly retryAt = new Map<string, number>();
 
+  private readonly inventory = new MachineInventory();
+
   private readonly waves: WaveSet;
 
   /** Monotonic time from which this holder may call, after one that may have called before it. */
@@ -171,9 +174,11 @@
       this.backOff(listed.isErr() ? listed.error.message : 'no machine is listed');
       return;
     }
-    const machines = new Map(listed.value.map((each) => [each.machine, each]));
+    const { namedMachines, begunMachines } = this.waves;
+    const { inventory, now } = this;
+    const machines = inventory.apply(listed.value, namedMachines, begunMachines, now);
     this.settleAwaited(machines, requestedAt);
-    this.waves.judge(machines);
+    this.waves.judge((machine) => inventory.isGone(machine, now));
     await this.call(this.runners.plan(this.createView(machines), this.now));
     if (!(await this.waves.write())) {
       this.backOff(storeFailure);
--- a/packages/instance/src/WaveProgress.ts
+++ b/packages/instance/src/WaveProgress.ts
@@ -1,4 +1,4 @@
-import type { MachineStatus, MaintenanceWave, PendingCall } from '@apricothoist/dispatch';
+import type { MaintenanceWave, PendingCall } from '@apricothoist/dispatch';
 
 import type { MaintenanceRecord } from './StoredJob.js';
 import type { RequestedWave } from './WaveRequests.js';
@@ -76,15 +76,13 @@
     });
   }
 
-  public get begunCount(): number {
-    return this.begun.size;
+  public get begunMachines(): readonly string[] {
+    return [...this.begun];
   }
 
-  /** Existing machines whose maintenance has not begun. */
-  public waiting(machines: ReadonlyMap<string, MachineStatus>): readonly string[] {
-    return this.request.machines.filter(
-      (name) => machines.has(name) && !this.begun.has(name) && !this.refused.has(name),
-    );
+  /** Machines whose maintenance has not begun. */
+  public get waiting(): readonly string[] {
+    return this.request.machines.filter((name) => !this.begun.has(name) && !this.refused.has(name));
   }
 
   /** Records that a call is about to be sent. */
--- a/packages/instance/src/WaveSet.ts
+++ b/packages/instance/src/WaveSet.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@apricothoist/common';
-import type { MachineStatus, MaintenanceWave, PendingCall } from '@apricothoist/dispatch';
+import type { MaintenanceWave, PendingCall } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
 
 import { JobEvents } from './events.js';
@@ -45,6 +45,16 @@
     return [...this.known.values()].flatMap((progress) => progress.pendingCalls());
   }
 
+  /** Machines that the waves name. */
+  public get namedMachines(): readonly string[] {
+    return [...this.known.values()].flatMap(({ request }) => request.machines);
+  }
+
+  /** Machines whose maintenance has begun. */
+  public get begunMachines(): readonly string[] {
+    return [...this.known.values()].flatMap(({ begunMachines }) => begunMachines);
+  }
+
   /** All waves, as the decision needs them; waves that are not open only limit the others. */
   public describe(wallOffsetMs: number): readonly MaintenanceWave[] {
     const open = new Set(this.open);
@@ -84,7 +94,7 @@
       wave,
       machines: request.machines.length,
       maxCount: request.maxCount,
-      begun: progress.begunCount,
+      begun: progress.begunMachines.length,
       called: progress.open.size,
       isCompleted: progress.isCompleted,
     });
@@ -105,10 +115,14 @@
       return false;
     }
     unsettled.forEach((machine) =>
-      this.log.emit(JobEvents.maintenanceBegun, { wave, machine, begun: progress.begunCount }),
+      this.log.emit(JobEvents.maintenanceBegun, {
+        wave,
+        machine,
+        begun: progress.begunMachines.length,
+      }),
     );
     if (isStatusDue && isCompleted) {
-      this.log.emit(JobEvents.waveCompleted, { wave, begun: progress.begunCount });
+      this.log.emit(JobEvents.waveCompleted, { wave, begun: progress.begunMachines.length });
     }
     return true;
   }
@@ -119,16 +133,16 @@
   }
 
   /** Finds completed waves, and reports late ones and machines that do not exist. */
-  public judge(machines: ReadonlyMap<string, MachineStatus>): void {
+  public judge(isGone: (machine: string) => boolean): void {
     this.open.forEach((progress) => {
       const { wave, request } = progress;
       const unknown = request.machines
-        .filter((name) => !machines.has(name))
+        .filter(isGone)
         .filter((name) => this.isFirst(`unknown ${wave} ${name}`));
       if (unknown.length > 0) {
         this.log.emit(JobEvents.machinesUnknown, { wave, machines: unknown.join(',') });
       }
-      const waiting = progress.waiting(machines).length;
+      const waiting = progress.waiting.filter((name) => !isGone(name)).length;
       if (waiting === 0 && progress.open.size === 0) {
         progress.recordCompleted();
       } else if (progress.isLate(this.clock.wall()) && this.isFirst(`late ${wave}`)) {
--- a/packages/instance/src/testing/FakeMachines.ts
+++ b/packages/instance/src/testing/FakeMachines.ts
@@ -29,6 +29,9 @@
 
   public isSilent = false;
 
+  /** Machines that the lists lack, although they exist. */
+  public readonly unlisted = new Set<string>();
+
   private newestToken = 0;
 
   /** Answers a call in place of the machine; undefined to execute it. */
@@ -56,11 +59,9 @@
       return err(new MachineError('unavailable', 'no answer'));
     }
     return ok(
-      [...this.runners].map(([machine, runnerId]) => ({
-        machine,
-        runnerId,
-        isUp: !this.isDown(machine),
-      })),
+      [...this.runners]
+        .filter(([machine]) => !this.unlisted.has(machine))
+        .map(([machine, runnerId]) => ({ machine, runnerId, isUp: !this.isDown(machine) })),
     );
   }
 
