A lease counts from before the token was read, for starts too

Callers could see a task at work twice, if an instance is suspended at one moment: a lease that it grants lasts longer than the time that is recorded for it, or that its successor counts.

Cause: the deadline of a lease was computed from other readings of the clock than the one that was recorded.

Change: the clock is read first, then the token; starts carry the time until which they may extend leases, as reports do; a deadline is computed from one reading.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -226,15 +226,14 @@
   }
 
   /**
-   * Records that a task is to be started on the runner by a call that may extend leases there.
+   * Records that a task is to be started on the runner by a call that may extend leases there;
+   * returns the steady time until which it may extend them.
    *
    * @param steadyNow reading of the steady clock, see `step`
    */
-  public recordLeaseExtension(runnerId: string, steadyNow: number): void {
+  public recordLeaseExtension(runnerId: string, steadyNow: number): number {
     const runner = this.state.runners.get(runnerId);
-    if (runner !== undefined) {
-      extendLease(runner, this.state.bounds, steadyNow);
-    }
+    return runner === undefined ? steadyNow : extendLease(runner, this.state.bounds, steadyNow);
   }
 
   /** Whether the run of a start command is still wanted, on the incarnation it was chosen for. */
--- a/packages/dispatch/src/leases.ts
+++ b/packages/dispatch/src/leases.ts
@@ -19,10 +19,10 @@
 
 /**
  * Records that a call is being sent that starts a task on the runner, or that may extend its leases
- * by as much as the runner grants.
+ * by as much as the runner grants; returns the steady time until which it may extend them.
  */
-export function extendLease(runner: LeaseView, bounds: DispatchBounds, steadyNow: number): void {
-  recordLease(runner, bounds.maxLeaseMs, steadyNow);
+export function extendLease(runner: LeaseView, bounds: DispatchBounds, steadyNow: number): number {
+  return recordLease(runner, bounds.maxLeaseMs, steadyNow);
 }
 
 /**
@@ -32,11 +32,11 @@
 export function grantLease(runner: LeaseView, bounds: DispatchBounds, steadyNow: number): number {
   const { maxLeaseMs } = bounds;
   const leaseMs = runner.isDraining ? Math.min(drainingLeaseMs, maxLeaseMs) : maxLeaseMs;
-  recordLease(runner, leaseMs, steadyNow);
-  return steadyNow + leaseMs;
+  return recordLease(runner, leaseMs, steadyNow);
 }
 
-function recordLease(runner: LeaseView, leaseMs: number, steadyNow: number): void {
+function recordLease(runner: LeaseView, leaseMs: number, steadyNow: number): number {
   const longestMs = leaseMs / slowestClockRate + leaseSlackMs;
   runner.leaseEnd = Math.max(runner.leaseEnd, steadyNow + longestMs);
+  return steadyNow + leaseMs;
 }
--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -115,6 +115,8 @@
   ): Promise<StartOutcome> | undefined {
     const { runnerId } = command;
     const runner = this.dispatcher.state.runners.get(runnerId);
+    // Read first: if this instance is suspended now, the lease still ends as if it had been sent.
+    const steadyNow = this.steadyClock.monotonic();
     const { token } = this.owner;
     const sentAt = this.clock.monotonic();
     const maySend = sentAt <= batch.sendBy && this.dispatcher.isStartWanted(command, sentAt);
@@ -122,8 +124,8 @@
       return undefined;
     }
     batch.sendBy = Math.min(batch.sendBy, sentAt + startPeriodMs);
-    this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
-    return this.runners.start(runner.listed, command, token, sentAt + attemptMs);
+    const leaseUntil = this.dispatcher.recordLeaseExtension(runnerId, steadyNow);
+    return this.runners.start(runner.listed, command, { token, leaseUntil }, sentAt + attemptMs);
   }
 
   private async tryStop(command: StopCommand): Promise<void> {
--- a/packages/instance/src/RunnerClient.ts
+++ b/packages/instance/src/RunnerClient.ts
@@ -23,12 +23,20 @@
 /** Error of a call to a runner. */
 export class RunnerError extends LayerError<RunnerErrorKind> {}
 
-export interface ReportRequest {
+interface RunnerRequest {
   /**
    * Fencing token of the scheduling instance; runners reject tokens lower than the highest they
    * have received.
    */
   readonly token: number;
+}
+
+export interface StartRequest extends RunnerRequest {
+  /** Steady time until which to extend the leases of all runs on the runner. */
+  readonly leaseUntil: number;
+}
+
+export interface ReportRequest extends RunnerRequest {
   /** Number up to which ended runs are stored; the runner drops them from its reports. */
   readonly acknowledgedEnd: number;
   /** Steady time until which to extend the leases of all runs on the runner; absent: not at all. */
@@ -42,7 +50,7 @@
   start(
     runner: ListedRunner,
     command: StartCommand,
-    token: number,
+    request: StartRequest,
     deadline: number,
   ): Promise<StartOutcome>;
   stop(
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -181,6 +181,8 @@
   }
 
   private async requestReport(): Promise<void> {
+    // Read first: if this instance is suspended now, the lease still ends as if it had been sent.
+    const steadyNow = this.steadyClock.monotonic();
     const { token } = this.owner;
     if (token === undefined) {
       this.endConfirmation();
@@ -197,7 +199,7 @@
     const acknowledgedEnd = isConfirmed ? this.unacknowledgedEnd : 0;
     const leaseUntil =
       isConfirmed && runner.occupants.size > 0
-        ? this.dispatcher.grantLease(runner.id, this.steadyClock.monotonic())
+        ? this.dispatcher.grantLease(runner.id, steadyNow)
         : undefined;
     const isBusy = isConfirmed && runner.occupants.size + runner.strays.size > 0;
     const request = {
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -16,7 +16,7 @@
 export { AdviceError, AdviceErrorKind } from './AdviceClient.js';
 export type { AdviceClient } from './AdviceClient.js';
 export { RunnerError, RunnerErrorKind } from './RunnerClient.js';
-export type { ReportRequest, RunnerClient } from './RunnerClient.js';
+export type { ReportRequest, RunnerClient, StartRequest } from './RunnerClient.js';
 export type { RegistryEntry, RegistryListing, RunnerRegistry } from './RunnerRegistry.js';
 export type { OperatorConfiguration, OperatorKeys, Route } from './OperatorConfiguration.js';
 export { Lookup, SubmitOutcome } from './requestResults.js';
--- a/packages/testing/src/VirtualRunnerClient.test.ts
+++ b/packages/testing/src/VirtualRunnerClient.test.ts
@@ -84,7 +84,12 @@
 ): Promise<[outcome: StartOutcome, tookMs: number]> {
   await client.report(entry, report, now() + 100);
   const sentAt = now();
-  const outcome = await client.start(entry, command, 1, sentAt + 250);
+  const outcome = await client.start(
+    entry,
+    command,
+    { token: 1, leaseUntil: Infinity },
+    sentAt + 250,
+  );
   return [outcome, now() - sentAt];
 }
 
--- a/packages/testing/src/VirtualRunnerClient.ts
+++ b/packages/testing/src/VirtualRunnerClient.ts
@@ -30,6 +30,12 @@
   readonly createError: (kind: VirtualCallErrorKind, message: string) => E;
 }
 
+interface StartRequest {
+  readonly token: number;
+  /** Steady time, by the clock of `now`. */
+  readonly leaseUntil: number;
+}
+
 interface ReportRequest {
   readonly token: number;
   readonly acknowledgedEnd: number;
@@ -70,10 +76,10 @@
   public async start(
     runner: ListedRunner,
     command: StartCommand,
-    token: number,
+    { token, leaseUntil }: StartRequest,
     deadline: number,
   ): Promise<StartOutcome> {
-    const leaseDeadline = this.leaseDeadline(runner);
+    const leaseDeadline = this.leaseDeadline(runner, leaseUntil);
     const { task, run } = command;
     const answer = await this.call(
       { kind: CallKind.start, runnerId: runner.id, sentAt: this.options.now(), task, run },
@@ -220,7 +226,7 @@
     return this.options.isRefusing?.(runnerId) ?? false;
   }
 
-  private leaseDeadline(runner: ListedRunner, leaseUntil = Infinity): number {
+  private leaseDeadline(runner: ListedRunner, leaseUntil: number): number {
     const reading = this.clockReadings.get(runner.id);
     if (reading === undefined || reading.processStartedAt !== runner.processStartedAt) {
       return 0;
