A runner with a run that may be at work is not forgotten

Callers could see a task at work twice at an instance whose clock steps ahead by more than ten minutes.

Cause: a runner that the registry does not list is forgotten ten minutes after its last report, by the clock that includes suspensions and therefore runs ahead after a step of the wall clock. With it went the run that it had reported and that was to be stopped, though its lease was valid by the steady clock, and the task was started beside it.

Change: only a runner without runs, held by a task group or not, is forgotten. Such runs end by a report or with their leases, so that nothing is kept for ever.

Evidence: found by reading. The new test failed before: run 1 was started on r2 at once.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -362,8 +362,9 @@
 
   private removeExpired(now: number): void {
     this.state.runners.forEach((runner) => {
+      const runs = runner.occupants.size + runner.runningStrays.length;
       const mayForget = runner.strays.size === 0 || now - runner.reportedAt > retentionMs;
-      if (!runner.isListed && runner.occupants.size === 0 && mayForget) {
+      if (!runner.isListed && runs === 0 && mayForget) {
         this.state.runners.delete(runner.id);
       }
     });
--- a/packages/dispatch/src/strayRuns.test.ts
+++ b/packages/dispatch/src/strayRuns.test.ts
@@ -1,4 +1,10 @@
-import { DispatchFixture, endedTask, fixtureStep, runningTask } from '@apricothoist/testing';
+import {
+  DispatchFixture,
+  endedTask,
+  fixtureStep,
+  listedRunner,
+  runningTask,
+} from '@apricothoist/testing';
 import test from 'ava';
 
 import { StartOutcome } from './StartOutcome.js';
@@ -37,6 +43,22 @@
   );
 });
 
+// Its runner was forgotten at once after a step of the wall clock, and its task started beside it.
+test('a step of the clock does not forget a run that may be at work', (t) => {
+  const fixture = new DispatchFixture([single]);
+  const { dispatcher } = fixture;
+  fixture.report('r1', [runningTask(0)]);
+  fixture.report('r2');
+  fixture.step();
+  const steadyNow = fixture.now;
+  fixture.now += 3_600_000;
+  dispatcher.updateRunners([listedRunner('r2')], fixture.now - 5_000);
+  dispatcher.updateRunners([listedRunner('r2')], fixture.now);
+  t.deepEqual(dispatcher.step(fixture.now, fixture.now, steadyNow + 100).starts, []);
+  fixture.now += 7_000;
+  t.is(dispatcher.step(fixture.now, fixture.now, steadyNow + 7_000).starts.length, 1);
+});
+
 test('a run that is not held by a task group counts against the limit of tasks per runner', (t) => {
   const fixture = new DispatchFixture([{ ...single, count: 2, perRunnerLimit: 1 }], undefined, [
     'r1',
