A runner that leaves as announced has not crashed

Callers could see a job shown as failed that could be done: after five runners had left under one of its tasks, each counted as a crash.

Cause: since departures end no run, the leases of work on a runner that has left expire, and the expiry counts as a presumed crash unless the runner was lost after its announced time. That time was counted from the list that first showed the drain; the runner counts it from its heartbeat, which is up to a list interval older. A runner that left on time was lost too early.

Change: the earliest time at which a runner may depart counts from the list before. When work is moved (departsAt) stays as it was.

Evidence: the new test failed before, with a crash of suspicion alone and age 2,050 ms, for a runner that left 2,000 ms after its announcement and 600 ms less after the list.

--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -75,6 +75,12 @@
   /** Monotonic time from which a draining runner may be gone; Infinity while it stays. */
   public departsAt = Infinity;
 
+  /**
+   * The same, if the runner has announced it right after the list before: the remaining time counts
+   * from its heartbeat.
+   */
+  public mayDepartAt = Infinity;
+
   /** Ids of jobs with runs that failed here since the last successful run. */
   public readonly failedJobs = new Set<string>();
 
--- a/packages/dispatch/src/RunnerCrashes.test.ts
+++ b/packages/dispatch/src/RunnerCrashes.test.ts
@@ -77,6 +77,21 @@
   t.is(crashesOf(fixture).length, 1);
 });
 
+// The remaining time counts from the heartbeat of the runner, which is older than the list.
+test('a runner that leaves as announced just before a list said has crashed', (t) => {
+  const fixture = startOne();
+  const minRemainingMs = 2_000;
+  const announcedAt = fixture.now + 50;
+  fixture.now += 650;
+  fixture.report('r1', [runningTask(0)]);
+  const draining = listedRunner('r1', { isDraining: true, minRemainingMs });
+  fixture.dispatcher.updateRunners([draining], fixture.now);
+  fixture.dispatcher.recordUnansweredCall('r1', announcedAt + minRemainingMs);
+  fixture.step(leaseMs);
+  t.deepEqual(crashesOf(fixture), []);
+  t.is(fixture.dispatcher.state.runners.get('r1')?.occupants.size, 0);
+});
+
 // Cut networks looked like crashes at the same age, and innocent tasks were given up.
 test('a crash is certain only with another process at the address of the runner', (t) => {
   [false, true].forEach((isReplaced) => {
--- a/packages/dispatch/src/RunnerCrashes.ts
+++ b/packages/dispatch/src/RunnerCrashes.ts
@@ -211,7 +211,7 @@
 
 // A runner that goes before its announced departure has crashed.
 function isPlannedEnd(runner: Runner, lostAt: number): boolean {
-  return runner.isLeaving && (runner.departsAt === Infinity || lostAt >= runner.departsAt);
+  return runner.isLeaving && (runner.mayDepartAt === Infinity || lostAt >= runner.mayDepartAt);
 }
 
 /**
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -16,6 +16,9 @@
   /** Monotonic times of the first listings without a readable entry, by runner. */
   private readonly missingSince = new Map<string, number>();
 
+  /** Monotonic time at which the previous listing was requested. */
+  private previousRequestedAt = -Infinity;
+
   public constructor(
     private readonly state: DispatchState,
     private readonly reportHandler: ReportHandler,
@@ -45,6 +48,7 @@
       }
     });
     updateSpeedClasses(this.state);
+    this.previousRequestedAt = requestedAt;
   }
 
   // Says nothing about the runs of the runner, which end by its reports or with its leases.
@@ -81,13 +85,16 @@
       this.reportHandler.restart(known, entry.processStartedAt, now);
     }
     if (entry.isDraining && !known.listed.isDraining) {
-      known.departsAt = requestedAt + (entry.minRemainingMs ?? Infinity);
+      const minRemainingMs = entry.minRemainingMs ?? Infinity;
+      known.departsAt = requestedAt + minRemainingMs;
+      known.mayDepartAt = this.previousRequestedAt + minRemainingMs;
       log.decide('runnerDraining', { runner: entry.id, minRemainingMs: entry.minRemainingMs });
     }
     if (entry.isDraining) {
       known.drainedIncarnation = entry.processStartedAt;
     } else {
       known.departsAt = Infinity;
+      known.mayDepartAt = Infinity;
     }
     known.isListed = true;
     if (entry.processStartedAt >= knownStartedAt) {
