One unreadable record held up all maintenance waves

Cause: the stored progress of a wave was used as parsed. `{}` or `null` threw or failed each round, so that no wave went on while it was there. Likewise the cores of the strongest instance could be anything.

Change: both are decoded. A wave whose record cannot be read rests and is read again each 2 s, the others go on: machines that it names may have been called, so to begin it anew could exceed its limit. Unreadable requests of waves and configurations are counted as well (`records_unreadable`).

Evidence: "a wave whose record cannot be read rests alone until it can be" fails with the former code and passes now. MaintenanceWaves.test.ts and maintenanceLoad.test.ts pass the new dependency; their checks are unchanged.

--- a/packages/instance/src/JobInstance.ts
+++ b/packages/instance/src/JobInstance.ts
@@ -105,6 +105,8 @@
 
   private readonly counters = new RunCounters();
 
+  private readonly unreadable: UnreadableRecords;
+
   private readonly transferPolicy: LeadershipTransferPolicy;
 
   private readonly strongestCores: StrongestCores;
@@ -163,8 +165,10 @@
     );
     this.evacuations = new EvacuationRequests(services.operatorKeys.evacuations);
     const { maintenance, operatorKeys, log } = services;
+    this.unreadable = new UnreadableRecords(log, this.counters);
     this.maintenance =
-      maintenance && createMaintenanceServices(maintenance, operatorKeys.waves, settings.name, log);
+      maintenance &&
+      createMaintenanceServices(maintenance, operatorKeys.waves, settings.name, log, this.counters);
     this.feedServer = this.disposables.register(
       new FeedServer(
         this.statusCache,
@@ -176,7 +180,7 @@
       new FeedClient(this.statusCache, clock, settings.cores, requests),
     );
     const { name, feedHost, feedPort, cores } = settings;
-    this.strongestCores = new StrongestCores(store, clock, this.statusCache);
+    this.strongestCores = new StrongestCores(store, clock, this.statusCache, this.unreadable);
     const self = { instance: name, feedAddress: `${feedHost}:${feedPort}` };
     this.election = this.disposables.register(
       new Election(
@@ -259,9 +263,10 @@
       this.maintenance?.requests.apply(items);
       this.reportUnknownDataCentres();
     });
-    this.configurationFollower.onUnreadable((message) =>
-      log.emit(JobEvents.configurationUnreadable, { message }),
-    );
+    this.configurationFollower.onUnreadable((message) => {
+      this.counters.unreadableRecords += 1;
+      log.emit(JobEvents.configurationUnreadable, { message });
+    });
     this.storeAccess.monitor.onChange(() => this.reportStoreChange());
     this.election.onTermStart((term) => this.beginScheduling(term));
     this.election.onTermEnd((reason) => this.endScheduling(reason));
@@ -272,8 +277,7 @@
         this.feedServer.publishDoubt();
       }
     });
-    const unreadable = new UnreadableRecords(log, this.counters);
-    this.election.onUnreadable((record) => unreadable.report(record));
+    this.election.onUnreadable((record) => this.unreadable.report(record));
     this.election.onHolderFound((location) => this.feedClient.connect(location));
     this.feedClient.onChange(({ isConnected, reason }) =>
       log.emit(isConnected ? JobEvents.feedConnected : JobEvents.feedLost, { reason }),
--- a/packages/instance/src/MaintenanceServices.ts
+++ b/packages/instance/src/MaintenanceServices.ts
@@ -1,7 +1,9 @@
+import type { RunCounters } from '@apricothoist/dispatch';
 import type { EventLog } from '@apricothoist/telemetry';
 
 import { JobEvents } from './events.js';
 import type { MaintenancePlatform } from './MachineClient.js';
+import { UnreadableRecords } from './UnreadableRecords.js';
 import { WaveRequests } from './WaveRequests.js';
 
 /** Dependencies of `MaintenanceWaves`, provided by the instance. */
@@ -12,6 +14,7 @@
   readonly requestPrefix: string;
   /** Name of this instance. */
   readonly instance: string;
+  readonly unreadable: UnreadableRecords;
 }
 
 export function createMaintenanceServices(
@@ -19,9 +22,12 @@
   requestPrefix: string,
   instance: string,
   log: EventLog,
+  counters: RunCounters,
 ): MaintenanceServices {
-  const requests = new WaveRequests(requestPrefix, platform.decodeRequest, (wave, message) =>
-    log.emit(JobEvents.waveUnreadable, { wave, message }),
-  );
-  return { platform, requests, requestPrefix, instance };
+  const requests = new WaveRequests(requestPrefix, platform.decodeRequest, (wave, message) => {
+    counters.unreadableRecords += 1;
+    log.emit(JobEvents.waveUnreadable, { wave, message });
+  });
+  const unreadable = new UnreadableRecords(log, counters);
+  return { platform, requests, requestPrefix, instance, unreadable };
 }
--- a/packages/instance/src/MaintenanceWaves.test.ts
+++ b/packages/instance/src/MaintenanceWaves.test.ts
@@ -1,3 +1,4 @@
+import { RunCounters } from '@apricothoist/dispatch';
 import { DispatchFixture, VirtualCoordinationStore } from '@apricothoist/testing';
 import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
 import { install } from '@sinonjs/fake-timers';
@@ -10,6 +11,7 @@
 import type { MaintenanceOutcome } from './MachineClient.js';
 import { MaintenanceWaves } from './MaintenanceWaves.js';
 import { FakeMachines, maintenanceMs } from './testing/FakeMachines.js';
+import { UnreadableRecords } from './UnreadableRecords.js';
 import type { WaveRequest } from './WaveRequests.js';
 import { WaveRequests } from './WaveRequests.js';
 
@@ -68,12 +70,15 @@
       this.isStoreCut
         ? err(new CoordinationError('unanswered', 'no response'))
         : this.store.commit(transaction);
+    const log = new EventLog('test', LogLevel.error, LogFormat.text, clock);
+    const unreadable = new UnreadableRecords(log, new RunCounters());
+    const { requests } = this;
     this.term = new MaintenanceWaves(
-      { platform, requests: this.requests, requestPrefix: 'wave/', instance: `i${token}` },
+      { platform, requests, requestPrefix: 'wave/', instance: `i${token}`, unreadable },
       store,
       new DispatchFixture([], undefined, []).dispatcher.maintenance,
       clock,
-      new EventLog('test', LogLevel.error, LogFormat.text, clock),
+      log,
       token,
       () => true,
       (error) => this.errors.push(error),
@@ -287,3 +292,22 @@
   t.is(waves.machines.maxDown, 2);
   t.is(waves.machines.done.length, all.length);
 });
+
+// One record held up all waves. The machines that it says were called are not known.
+test.serial('a wave whose record cannot be read rests alone until it can be', async (t) => {
+  const key = StoreKeys.maintenance('1');
+  for (const odd of ['null', '{}', '['.repeat(200_000), '{"revision":1,"called":5}']) {
+    using waves = new Waves();
+    waves.store.put(key, odd);
+    waves.request('1', { machines: ['m1'] });
+    waves.request('2', { machines: ['m2'] });
+    await waves.run(4_000);
+    t.deepEqual(waves.machines.done, ['2 m2'], odd.slice(0, 40));
+    t.is(await waves.status('2'), 'completed');
+    const record = { revision: 0, deadline: 0, called: [], begun: [], refused: [] };
+    waves.store.put(key, JSON.stringify({ ...record, isCompleted: false }));
+    await waves.run(6_000);
+    t.is(await waves.status('1'), 'completed');
+    t.deepEqual(waves.errors, []);
+  }
+});
--- a/packages/instance/src/MaintenanceWaves.ts
+++ b/packages/instance/src/MaintenanceWaves.ts
@@ -95,9 +95,9 @@
     private readonly isHolder: () => boolean,
     private readonly onError: (error: unknown) => void,
   ) {
-    const { platform, requests, requestPrefix } = services;
+    const { platform, requests, requestPrefix, unreadable } = services;
     this.callsFrom = clock.monotonic() + platform.holderTurnMs;
-    const waveStore = new WaveStore(store, clock, token, platform, requestPrefix);
+    const waveStore = new WaveStore(store, clock, token, platform, requestPrefix, unreadable);
     this.waves = new WaveSet(requests, waveStore, clock, log);
   }
 
--- a/packages/instance/src/StoredJob.ts
+++ b/packages/instance/src/StoredJob.ts
@@ -7,18 +7,6 @@
   readonly queue: Queue;
 }
 
-type StoredRecord = HolderRecord | StrongestCoresRecord | MaintenanceRecord;
-
-/** Parses a stored record; returns undefined if it is malformed. */
-export function parseRecord<T extends StoredRecord>(value: string | undefined): T | undefined {
-  try {
-    return value === undefined ? undefined : (JSON.parse(value) as T);
-  } catch {
-    // The caller logs the key of the malformed record.
-    return undefined;
-  }
-}
-
 /** Record of the instance that holds the leadership lease. */
 export interface HolderRecord {
   readonly instance: string;
--- a/packages/instance/src/StrongestCores.ts
+++ b/packages/instance/src/StrongestCores.ts
@@ -2,12 +2,12 @@
 import type { Result } from 'neverthrow';
 import { ok } from 'neverthrow';
 
-import type { CoordinationError, CoordinationStore } from './CoordinationStore.js';
+import type { CoordinationError, CoordinationStore, StoredItem } from './CoordinationStore.js';
 import type { JobStatusCache } from './JobStatusCache.js';
 import { StoreKeys } from './keys.js';
-import type { StrongestCoresRecord } from './StoredJob.js';
-import { parseRecord } from './StoredJob.js';
+import { decodeRecord, strongestCoresSchema } from './storedRecords.js';
 import { StoreTiming } from './StoreTiming.js';
+import type { UnreadableRecords } from './UnreadableRecords.js';
 
 /**
  * Cores of the strongest instance, as the last holder published them. An instance that has received
@@ -22,6 +22,7 @@
     private readonly store: CoordinationStore,
     private readonly clock: Clock,
     private readonly statusCache: JobStatusCache,
+    private readonly unreadable: UnreadableRecords,
   ) {}
 
   /** Last known value without a call; 0 if unknown. */
@@ -41,8 +42,20 @@
     const deadline = this.clock.monotonic() + StoreTiming.callTimeoutMs;
     const found = await this.store.read(StoreKeys.strongestCores, deadline);
     return found.map((item) => {
-      this.storedCores = parseRecord<StrongestCoresRecord>(item?.value)?.cores ?? 0;
+      this.storedCores =
+        item?.value === undefined ? 0 : this.decode({ ...item, value: item.value });
       return this.storedCores;
     });
   }
+
+  // Without them the instances compete as if they were alike, until a holder stores them again.
+  private decode({ key, value, revision }: Required<StoredItem>): number {
+    return decodeRecord(strongestCoresSchema, value).match(
+      ({ cores }) => cores,
+      (error) => {
+        this.unreadable.report({ key, revision, error });
+        return 0;
+      },
+    );
+  }
 }
--- a/packages/instance/src/WaveSet.ts
+++ b/packages/instance/src/WaveSet.ts
@@ -6,12 +6,18 @@
 import type { WaveProgress } from './WaveProgress.js';
 import type { RequestedWave, WaveRequests } from './WaveRequests.js';
 import type { WaveStore } from './WaveStore.js';
-import { WaveWrite } from './WaveStore.js';
+import { WaveReadFailure, WaveWrite } from './WaveStore.js';
+
+/** Milliseconds between reads of a record that cannot be read. */
+const rereadIntervalMs = 2_000;
 
 /** The maintenance waves that one leadership term knows, with their stored progress. */
 export class WaveSet {
   private readonly known = new Map<string, WaveProgress>();
 
+  /** Monotonic time of the next read of records that could not be read, by wave. */
+  private readonly rereadAt = new Map<string, number>();
+
   /** Machines and waves that were logged, by kind of event. */
   private readonly logged = new Set<string>();
 
@@ -59,7 +65,7 @@
     for (const [wave, request] of this.requests.waves) {
       const progress = this.known.get(wave);
       progress?.update(request, this.clock.wall());
-      if (progress === undefined && !(await this.load(wave, request))) {
+      if (progress === undefined && !(await this.loadIfDue(wave, request))) {
         return false;
       }
     }
@@ -74,11 +80,24 @@
     return true;
   }
 
-  private async load(wave: string, request: RequestedWave): Promise<boolean> {
-    const progress = await this.store.read(wave, request);
-    if (progress === undefined) {
-      return false;
+  // A wave whose record cannot be read rests, and the others go on: machines of it that were called
+  // are not known, and to call others could exceed its limit.
+  private async loadIfDue(wave: string, request: RequestedWave): Promise<boolean> {
+    const now = this.clock.monotonic();
+    if (now < (this.rereadAt.get(wave) ?? -Infinity)) {
+      return true;
+    }
+    const read = await this.store.read(wave, request);
+    if (read.isErr()) {
+      const isUnreadable = read.error === WaveReadFailure.unreadable;
+      this.rereadAt.set(wave, isUnreadable ? now + rereadIntervalMs : now);
+      return isUnreadable;
     }
+    this.begin(wave, request, read.value);
+    return true;
+  }
+
+  private begin(wave: string, request: RequestedWave, progress: WaveProgress): void {
     this.known.set(wave, progress);
     this.log.emit(JobEvents.waveStarted, {
       wave,
@@ -88,7 +107,6 @@
       called: progress.open.size,
       isCompleted: progress.isCompleted,
     });
-    return true;
   }
 
   /** Stores all changes; false if that fails. */
--- a/packages/instance/src/WaveStore.ts
+++ b/packages/instance/src/WaveStore.ts
@@ -1,11 +1,13 @@
 import type { Clock } from '@apricothoist/common';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 
 import type { CoordinationStore } from './CoordinationStore.js';
 import { StoreKeys } from './keys.js';
 import type { MaintenancePlatform } from './MachineClient.js';
-import type { MaintenanceRecord } from './StoredJob.js';
-import { parseRecord } from './StoredJob.js';
+import { decodeRecord, maintenanceSchema } from './storedRecords.js';
 import { StoreTiming } from './StoreTiming.js';
+import type { UnreadableRecords } from './UnreadableRecords.js';
 import { WaveProgress } from './WaveProgress.js';
 import type { RequestedWave } from './WaveRequests.js';
 
@@ -18,6 +20,14 @@
 } as const;
 export type WaveWrite = (typeof WaveWrite)[keyof typeof WaveWrite];
 
+/** Why the progress of a wave is not known. */
+export const WaveReadFailure = {
+  unanswered: 'unanswered',
+  /** The stored record cannot be read; machines that it names may have been called. */
+  unreadable: 'unreadable',
+} as const;
+export type WaveReadFailure = (typeof WaveReadFailure)[keyof typeof WaveReadFailure];
+
 /** Reads and writes the progress of maintenance waves; writes need the token to be current. */
 export class WaveStore {
   public constructor(
@@ -26,16 +36,28 @@
     private readonly token: number,
     private readonly platform: MaintenancePlatform,
     private readonly requestPrefix: string,
+    private readonly unreadable: UnreadableRecords,
   ) {}
 
-  /** Reads what a former holder has stored of a wave; undefined if the store does not respond. */
-  public async read(wave: string, request: RequestedWave): Promise<WaveProgress | undefined> {
+  /** Reads what a former holder has stored of a wave. */
+  public async read(
+    wave: string,
+    request: RequestedWave,
+  ): Promise<Result<WaveProgress, WaveReadFailure>> {
     const found = await this.store.read(StoreKeys.maintenance(wave), this.deadline);
     if (found.isErr()) {
-      return undefined;
+      return err(WaveReadFailure.unanswered);
+    }
+    const item = found.value;
+    if (item?.value === undefined) {
+      return ok(new WaveProgress(wave, request, undefined, this.clock.wall()));
     }
-    const record = parseRecord<MaintenanceRecord>(found.value?.value);
-    return new WaveProgress(wave, request, record, this.clock.wall());
+    return decodeRecord(maintenanceSchema, item.value)
+      .map((record) => new WaveProgress(wave, request, record, this.clock.wall()))
+      .mapErr((error) => {
+        this.unreadable.report({ ...item, error });
+        return WaveReadFailure.unreadable;
+      });
   }
 
   /** Stores the changes of a wave, and the status that it shows. */
--- a/packages/instance/src/maintenanceLoad.test.ts
+++ b/packages/instance/src/maintenanceLoad.test.ts
@@ -1,9 +1,13 @@
+import { SystemClock } from '@apricothoist/common';
+import { RunCounters } from '@apricothoist/dispatch';
+import { EventLog, LogFormat, LogLevel } from '@apricothoist/telemetry';
 import test from 'ava';
 import { err, ok } from 'neverthrow';
 
 import { FakeMachines, maintenanceMs } from './testing/FakeMachines.js';
 import { VirtualDeployment } from './testing/VirtualDeployment.js';
 import type { WaveRequest } from './WaveRequests.js';
+import { UnreadableRecords } from './UnreadableRecords.js';
 import { WaveRequests } from './WaveRequests.js';
 
 const names = ['m1', 'm2', 'm3'];
@@ -29,7 +33,9 @@
     holderTurnMs: 0,
     callsPerS: 60,
   };
-  const maintenance = { platform, requests, requestPrefix: 'wave/', instance: 'i' };
+  const log = new EventLog('test', LogLevel.error, LogFormat.text, new SystemClock());
+  const unreadable = new UnreadableRecords(log, new RunCounters());
+  const maintenance = { platform, requests, requestPrefix: 'wave/', instance: 'i', unreadable };
   using deployment = new VirtualDeployment({ runners: 3, durationMs: 2_500, maintenance });
   time.now = () => deployment.now;
   machines.takeDown = (machine) => deployment.restart(machine.replace('m', 'r'), maintenanceMs);
