What a runner says of itself outranks what its registry entry says

Operators saw reports of a runner ignored as those of an earlier incarnation, a run that had ended `done` started again, and a runner that was not used any more, after another writer had left an entry with another start over a runner at work or before one came: the highest start that any entry named was held to be the present one, and every listing restored it. With another address, leases and reports went there; a capacity beyond all bounds was given out on runners that do not check theirs.

RunnerIdentity: the report of a runner decides which incarnation runs. An entry that names another one has the runner called at once; until it answers nothing starts there, and its reports count as before. Its address is used once the runner has reported from it. What does not change in one life applies once a second revision repeats it; a smaller capacity applies at once. Crashes count once the next incarnation has reported, also those before a takeover, and J768 shows them. J746 and `runner_entries_contradictory` tell of contradictions.

Changed tests: four in RunnerCrashes.test.ts took an entry alone for the proof of a restart, or a listed runner for one that runs at the same address. They deliver the report as well, and two of them check that the entry alone counts as no crash. VirtualRunnerClient answers at the address of the runner only.

--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -60,6 +60,7 @@
   | 'runnerDraining'
   | 'runnerUnlisted'
   | 'runnerRestarted'
+  | 'entryContradicted'
   | 'runnerCrashed'
   | 'crashRetracted'
   | 'reportOutdated'
--- a/packages/dispatch/src/ListedRunner.ts
+++ b/packages/dispatch/src/ListedRunner.ts
@@ -15,6 +15,8 @@
   readonly minRemainingMs?: number;
   /** Start of the runner process, Unix milliseconds; 0: unknown. */
   readonly processStartedAt: number;
+  /** Revision of the last write of the entry; absent if unknown. */
+  readonly revision?: number;
   /** Monotonic time after which the runner last wrote its entry; absent if unknown. */
   readonly writtenAfter?: number;
 }
--- a/packages/dispatch/src/ProgressRestorer.ts
+++ b/packages/dispatch/src/ProgressRestorer.ts
@@ -82,9 +82,6 @@
       placeMember(group, member, runner, RunHistory.forTakeover(now));
       // The listing may be older than the incarnation that the run was started on.
       member.processStartedAt = startedAt === 0 ? member.processStartedAt : startedAt;
-      if (startedAt !== 0 && startedAt < runner.listed.processStartedAt) {
-        this.crashes.recordCrashBefore({ group, member }, runnerId, startedAt);
-      }
       extendLease(runner, this.state.bounds, leasesExtendedUntil);
     });
     if (group.members.some((member) => member.state === MemberState.ended)) {
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -1,3 +1,4 @@
+import { describeContradiction } from './contradictions.js';
 import type { DispatchState } from './DispatchState.js';
 import { EndEvidence } from './EndEvidence.js';
 import { projectedTaskMs } from './RemainingTime.js';
@@ -34,6 +35,8 @@
 export interface RunnerReport {
   /** Start of the runner process, Unix milliseconds; 0: unknown. */
   readonly processStartedAt: number;
+  /** Address that responded, if it is not the one that is in use. */
+  readonly address?: string;
   /** Monotonic time at which the report was requested. */
   readonly requestedAt: number;
   readonly running: readonly RunningTask[];
@@ -64,11 +67,9 @@
       this.state.log.decide('reportOutdated', { runner: id, processStartedAt, reportedStart });
       return false;
     }
-    if (report.processStartedAt !== processStartedAt) {
-      this.restart(runner, report.processStartedAt, now);
-    }
+    this.identify(runner, report, now);
     this.crashes.recordAnswer(runner);
-    runner.isFenced = true;
+    runner.isFenced = !runner.identity.isInDoubt;
     runner.isReportDue = false;
     runner.unansweredCalls = 0;
     runner.disconnectedAt = undefined;
@@ -93,13 +94,41 @@
     return true;
   }
 
+  // The report decides which incarnation runs, and where; entries may come from another writer.
+  private identify(runner: Runner, report: RunnerReport, now: number): void {
+    const { identity, listed } = runner;
+    const { processStartedAt, requestedAt, address = listed.address } = report;
+    if (!identity.isConfirmed) {
+      this.crashes.recordEarlierCrashes(runner, processStartedAt, now);
+    }
+    if (processStartedAt !== listed.processStartedAt) {
+      // A start without an answer may have been carried out by each of them.
+      identity
+        .startsBetween(listed.processStartedAt, processStartedAt)
+        .forEach((startedAt) => this.restart(runner, startedAt, now));
+      this.restart(runner, processStartedAt, now);
+    }
+    runner.listed = { ...runner.listed, address };
+    const settled = identity.settle(processStartedAt, address, requestedAt);
+    if (settled?.isConfirmed === true) {
+      runner.applyEntry(settled.entry, settled.madeAt);
+    } else if (settled !== undefined) {
+      this.state.counters.contradictoryEntries += 1;
+      const fields = describeContradiction(runner.listed, settled.entry);
+      this.state.log.decide('entryContradicted', fields);
+    }
+  }
+
   /**
-   * Records that the runner process was restarted. Its tasks are left unchanged until the next
-   * report, because a task may already have been started by the new process.
+   * Records that the runner process was restarted. Its tasks are left unchanged until they are
+   * missing from a report, because a task may already have been started by the new process.
    */
-  public restart(runner: Runner, startedAt: number, now: number): void {
-    this.state.log.decide('runnerRestarted', { runner: runner.id, startedAt });
-    this.crashes.recordCrash(runner, now);
+  private restart(runner: Runner, startedAt: number, now: number): void {
+    if (runner.identity.isConfirmed) {
+      this.state.log.decide('runnerRestarted', { runner: runner.id, startedAt });
+      this.crashes.recordCrash(runner, now);
+    }
+    runner.identity.recordRestart(runner.listed.processStartedAt);
     runner.incarnationKnownAt = now;
     runner.listed = { ...runner.listed, processStartedAt: startedAt };
     runner.isFenced = false;
--- a/packages/dispatch/src/Resources.ts
+++ b/packages/dispatch/src/Resources.ts
@@ -36,6 +36,15 @@
   };
 }
 
+/** The smaller one of each component. */
+export function smallest(left: Resources, right: Resources): Resources {
+  return {
+    cpu: Math.min(left.cpu, right.cpu),
+    memoryMb: Math.min(left.memoryMb, right.memoryMb),
+    accelerators: Math.min(left.accelerators, right.accelerators),
+  };
+}
+
 /** Replaces negative components by zero. */
 export function clampToZero(value: Resources): Resources {
   return {
--- a/packages/dispatch/src/RunCounters.ts
+++ b/packages/dispatch/src/RunCounters.ts
@@ -23,6 +23,9 @@
   /** Start commands with a call that got no answer. */
   public unsettledStarts = 0;
 
+  /** Entries of the registry that differ from what is known of their runners, by revision. */
+  public contradictoryEntries = 0;
+
   /** Calls of the advice service. */
   public adviceCalls = 0;
 
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -2,6 +2,7 @@
 import type { ListedRunner } from './ListedRunner.js';
 import type { Resources } from './Resources.js';
 import { add, clampToZero, noResources, subtract } from './Resources.js';
+import { RunnerIdentity } from './RunnerIdentity.js';
 import { RunnerSpeed } from './RunnerSpeed.js';
 import type { StrayRun } from './StrayRun.js';
 import type { Member, TaskGroup } from './TaskGroup.js';
@@ -90,7 +91,33 @@
 
   public readonly speed = new RunnerSpeed();
 
-  public constructor(public listed: ListedRunner) {}
+  public readonly identity: RunnerIdentity;
+
+  public constructor(public listed: ListedRunner) {
+    this.identity = new RunnerIdentity(listed);
+  }
+
+  /**
+   * Applies an entry that describes the present incarnation.
+   *
+   * @param listedAt monotonic time of the request for the listing
+   * @returns whether the runner has begun to drain
+   */
+  public applyEntry(entry: ListedRunner, listedAt: number): boolean {
+    const beginsToDrain = entry.isDraining && !this.isDraining;
+    if (beginsToDrain) {
+      this.departsAt = listedAt + (entry.minRemainingMs ?? Infinity);
+    }
+    if (entry.isDraining) {
+      this.drainedIncarnation = entry.processStartedAt;
+    } else {
+      this.departsAt = Infinity;
+    }
+    this.listed = entry;
+    this.isEntryOutdated = false;
+    this.entryWrittenAfter = Math.max(this.entryWrittenAfter, entry.writtenAfter ?? -Infinity);
+    return beginsToDrain;
+  }
 
   public get id(): string {
     return this.listed.id;
--- a/packages/dispatch/src/RunnerCrashes.test.ts
+++ b/packages/dispatch/src/RunnerCrashes.test.ts
@@ -50,15 +50,17 @@
   fixture.dispatcher.updateRunners([listedRunner('r1', { isDraining: true })], fixture.now);
   fixture.report('r1', [runningTask(0)]);
   fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], fixture.now);
+  fixture.report('r1', [], [], 9);
   t.deepEqual(crashesOf(fixture), []);
 });
 
 test('crashes and incarnations are stored for a successor', (t) => {
   const before = startOne();
   before.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], before.now);
-  t.is(crashesOf(before).length, 1);
+  t.is(crashesOf(before).length, 0, 'an entry may come from another writer');
   before.now += 5;
   before.report('r1', [], [], 9);
+  t.is(crashesOf(before).length, 1);
   before.recordStartOutcomes(before.step(500), StartOutcome.started);
   const job = before.dispatcher.state.jobs.get(fixtureJobId);
   const progress = createProgressRecord(job as NonNullable<typeof job>);
@@ -66,6 +68,9 @@
   const after = new DispatchFixture([plainStep], stored, ['r1']);
   // The fixture lists the first incarnation; the run was started on the second.
   after.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 20 })], after.now);
+  t.is(crashesOf(after).length, 1);
+  after.now += 5;
+  after.report('r1', [], [], 20);
   t.is(crashesOf(after).length, 2);
 });
 
@@ -74,6 +79,7 @@
   const draining = { isDraining: true, minRemainingMs: 8_000 };
   fixture.dispatcher.updateRunners([listedRunner('r1', draining)], fixture.now);
   fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], fixture.now);
+  fixture.report('r1', [], [], 9);
   t.is(crashesOf(fixture).length, 1);
 });
 
@@ -84,6 +90,7 @@
     fixture.dispatcher.recordUnansweredCall('r1', fixture.now);
     const successor = listedRunner('r9', { address: isReplaced ? 'r1' : 'r9' });
     fixture.dispatcher.updateRunners([listedRunner('r1'), successor], fixture.now);
+    fixture.report('r9');
     fixture.step(leaseMs);
     t.like(crashesOf(fixture), [{ isDoubtful: !isReplaced }]);
   });
@@ -96,9 +103,11 @@
   fixture.step();
   fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], fixture.now);
   fixture.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 20 })], fixture.now);
+  fixture.report('r1', [], [], 20);
   t.is(crashesOf(fixture).length, 2);
   const answered = startOne();
   answered.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 9 })], answered.now);
   answered.dispatcher.updateRunners([listedRunner('r1', { processStartedAt: 20 })], answered.now);
+  answered.report('r1', [], [], 20);
   t.is(crashesOf(answered).length, 1, 'no call is open');
 });
--- a/packages/dispatch/src/RunnerCrashes.ts
+++ b/packages/dispatch/src/RunnerCrashes.ts
@@ -65,19 +65,27 @@
 
   /**
    * Records that the leases on the runner have expired without an answer. Its process has ended if
-   * another one is listed at its address.
+   * another one reports from its address.
    */
   public recordExpiry(runner: Runner, now: number): void {
     const { address } = runner.listed;
     const isReplaced = [...this.state.runners.values()].some(
-      (other) => other !== runner && other.isListed && other.listed.address === address,
+      (other) =>
+        other !== runner &&
+        other.isListed &&
+        other.identity.isConfirmed &&
+        other.listed.address === address,
     );
     this.record(runner, now, !isReplaced);
   }
 
-  private record(runner: Runner, now: number, isPresumed: boolean): void {
+  private record(
+    runner: Runner,
+    now: number,
+    isPresumed: boolean,
+    occupants: readonly Occupant[] = [...runner.occupants.values()],
+  ): void {
     const lostAt = this.losses.get(runner.id) ?? now;
-    const occupants = [...runner.occupants.values()];
     if (occupants.length === 0 || isPlannedEnd(runner, lostAt)) {
       return;
     }
@@ -123,15 +131,12 @@
     });
   }
 
-  /** Records a crash between the start of a member and a takeover. */
-  public recordCrashBefore(
-    { group, member }: Suspect,
-    runnerId: string,
-    processStartedAt: number,
-  ): void {
-    const suspicion = CrashSuspicion.beside;
-    const crash = { runnerId, processStartedAt, suspicion, isDoubtful: true, ageMs: 0 };
-    this.add(group, member, crash);
+  /** Records crashes between the starts of restored members and the first report of their runner. */
+  public recordEarlierCrashes(runner: Runner, presentStart: number, now: number): void {
+    const occupants = [...runner.occupants.values()].filter(
+      ({ member }) => member.processStartedAt !== 0 && member.processStartedAt < presentStart,
+    );
+    this.record(runner, now, true, occupants);
   }
 
   /** Registers the crashes of a restored history, so that they can be retracted. */
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -1,9 +1,11 @@
+import { describeContradiction } from './contradictions.js';
 import { hasDeparted } from './departure.js';
 import type { DispatchState } from './DispatchState.js';
 import { incarnationKey } from './LearnedState.js';
 import type { ListedRunner } from './ListedRunner.js';
 import type { ReportHandler } from './ReportHandler.js';
 import { Runner } from './Runner.js';
+import { EntryVerdict } from './RunnerIdentity.js';
 import { updateSpeedClasses } from './SpeedClasses.js';
 
 /**
@@ -20,6 +22,8 @@
   removedBefore: number;
 }
 
+type EntryApplier = (runner: Runner, entry: ListedRunner, requestedAt: number) => void;
+
 /** Applies the listings of the registry to the state. */
 export class RunnerListing {
   private readonly absences = new Map<string, Absence>();
@@ -102,27 +106,49 @@
       });
       return;
     }
-    const knownStartedAt = known.listed.processStartedAt;
-    if (knownStartedAt !== 0 && entry.processStartedAt > knownStartedAt) {
-      this.reportHandler.restart(known, entry.processStartedAt, now);
-    }
-    if (entry.isDraining && !known.listed.isDraining) {
-      known.departsAt = requestedAt + (entry.minRemainingMs ?? Infinity);
-      log.decide('runnerDraining', { runner: entry.id, minRemainingMs: entry.minRemainingMs });
-    }
-    if (entry.isDraining) {
-      known.drainedIncarnation = entry.processStartedAt;
-    } else {
-      known.departsAt = Infinity;
-    }
     known.isListed = true;
-    recordWrite(known, entry);
-    if (entry.processStartedAt >= knownStartedAt) {
-      known.listed = entry;
-      known.isEntryOutdated = false;
+    const { identity, listed } = known;
+    const verdict = identity.judge(entry, listed, known.unansweredCalls > 0, now);
+    this.appliers[verdict](known, entry, requestedAt);
+    if (known.listed.processStartedAt !== listed.processStartedAt) {
+      known.incarnationKnownAt = now;
+    }
+  }
+
+  private readonly appliers: Record<EntryVerdict, EntryApplier> = {
+    [EntryVerdict.matching]: (runner, entry, requestedAt) => {
+      // Runs stay at the address from which the runner has reported.
+      const { address } = runner.identity.isConfirmed ? runner.listed : entry;
+      this.applyState(runner, { ...entry, address }, requestedAt);
+    },
+    [EntryVerdict.resized]: (runner, entry, requestedAt) => {
+      this.logDeviation(runner, entry);
+      const capacity = runner.identity.limitCapacity(entry);
+      const { address } = runner.listed;
+      this.applyState(runner, { ...entry, address, capacity }, requestedAt);
+    },
+    [EntryVerdict.deviating]: (runner, entry) => {
+      this.logDeviation(runner, entry);
+      runner.listed = { ...runner.listed, capacity: runner.identity.limitCapacity(entry) };
+    },
+    [EntryVerdict.claimed]: (runner) => {
+      runner.isFenced = false;
+    },
+    [EntryVerdict.ignored]: () => {},
+  };
+
+  private applyState(runner: Runner, entry: ListedRunner, requestedAt: number): void {
+    if (runner.applyEntry(entry, requestedAt)) {
+      const { minRemainingMs } = entry;
+      this.state.log.decide('runnerDraining', { runner: entry.id, minRemainingMs });
     }
   }
 
+  private logDeviation(runner: Runner, entry: ListedRunner): void {
+    this.state.counters.contradictoryEntries += 1;
+    this.state.log.decide('entryContradicted', describeContradiction(runner.listed, entry));
+  }
+
   private createRunner(entry: ListedRunner): Runner {
     const runner = new Runner(entry);
     recordWrite(runner, entry);
--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -80,8 +80,10 @@
         break;
       }
     }
-    // The answers came from a process that is gone; the present one may still get the calls.
-    if (outcomes.length > 0 && runner?.listed.processStartedAt !== command.processStartedAt) {
+    // The answers may come from a process that is gone; the present one may still get the calls.
+    const isPresent =
+      runner?.listed.processStartedAt === command.processStartedAt && !runner.identity.isInDoubt;
+    if (outcomes.length > 0 && !isPresent) {
       outcomes.push(StartOutcome.unknown);
     }
     if (outcomes.includes(StartOutcome.unknown)) {
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -2,6 +2,7 @@
 import { delay } from '@apricothoist/common';
 import type {
   Dispatcher,
+  ListedRunner,
   Runner,
   RunnerReport,
   StartCommand,
@@ -65,8 +66,13 @@
 
   private resumeLoop: (() => void) | undefined;
 
+  private endBackOff: (() => void) | undefined;
+
   private retryMs = firstRetryMs;
 
+  /** Whether the incarnation was in doubt when the present back-off began. */
+  private wasInDoubt = false;
+
   /** Whether a call is open that was sent to a confirmed incarnation. */
   private isConfirmedCallOpen = false;
 
@@ -95,6 +101,9 @@
     if (!this.runner.isListed) {
       this.endConfirmation();
     }
+    if (this.runner.identity.isInDoubt && !this.wasInDoubt) {
+      this.endBackOff?.();
+    }
     if (this.needsCall && !this.hasUnstoredEnds) {
       this.resumeLoop?.();
     }
@@ -182,8 +191,17 @@
     await this.backOff();
   }
 
+  // An entry of another incarnation is a reason to call at once.
   private async backOff(): Promise<void> {
-    await delay(this.random.jitter(this.retryMs, retryJitter));
+    this.wasInDoubt = this.runner.identity.isInDoubt;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, this.random.jitter(this.retryMs, retryJitter));
+      this.endBackOff = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.endBackOff = undefined;
     this.retryMs = Math.min(maxRetryMs, this.retryMs * 2);
   }
 
@@ -227,12 +245,13 @@
     const deadline = this.clock.monotonic() + request.waitMs + responseTimeoutMs;
     this.isConfirmedCallOpen = isConfirmed;
     this.wasLastCallConfirmed = isConfirmed;
-    const report = await this.client.report(runner.listed, request, deadline);
+    const target = this.chooseTarget();
+    const report = await this.client.report(target, request, deadline);
     this.isConfirmedCallOpen = false;
     if (this.isStopped) {
       return;
     }
-    if (this.applyReport(report)) {
+    if (this.applyReport(report, target)) {
       this.retryMs = firstRetryMs;
       this.acknowledgedEnd = Math.max(this.acknowledgedEnd, acknowledgedEnd);
       this.endConfirmation();
@@ -244,26 +263,40 @@
     await this.backOff();
   }
 
+  // A runner that does not answer may be found at the address of another entry, by turns. The call names
+  // the runner, so nothing else responds to it.
+  private chooseTarget(): ListedRunner {
+    const { listed, identity, unansweredCalls } = this.runner;
+    const isElsewhere = unansweredCalls % 2 === 1;
+    return (isElsewhere ? identity.elsewhere(listed.address) : undefined) ?? listed;
+  }
+
   // Returns false if the call counts as unanswered.
-  private applyReport(report: Result<RunnerReport, RunnerError>): boolean {
+  private applyReport(report: Result<RunnerReport, RunnerError>, target: ListedRunner): boolean {
     const { runner, dispatcher, owner } = this;
-    if (report.isOk() && dispatcher.applyReport(runner.id, report.value, this.clock.monotonic())) {
+    const { address } = target;
+    const now = this.clock.monotonic();
+    if (report.isOk() && dispatcher.applyReport(runner.id, { ...report.value, address }, now)) {
       return true;
     }
-    if (report.isErr() && report.error.kind === RunnerErrorKind.fenced) {
+    // What refuses calls elsewhere need not be the runner.
+    const isAtKnownAddress = address === runner.listed.address;
+    const error = report.isErr() && isAtKnownAddress ? report.error : undefined;
+    if (error?.kind === RunnerErrorKind.fenced) {
       owner.yieldToSuccessor(runner.id);
     } else if (runner.unansweredCalls === 0) {
       const message = report.isErr() ? report.error.message : 'report of an earlier incarnation';
       owner.reportUnansweredCall(runner.id, message);
     }
-    const isDisconnected = report.isErr() && report.error.kind === RunnerErrorKind.disconnected;
-    dispatcher.recordUnansweredCall(runner.id, this.clock.monotonic(), isDisconnected);
+    const isDisconnected = error?.kind === RunnerErrorKind.disconnected;
+    dispatcher.recordUnansweredCall(runner.id, now, isDisconnected);
     return false;
   }
 
   public [Symbol.dispose](): void {
     this.isStopped = true;
     this.resumeLoop?.();
+    this.endBackOff?.();
     this.endConfirmation();
   }
 }
--- a/packages/instance/src/RunnerLister.ts
+++ b/packages/instance/src/RunnerLister.ts
@@ -35,6 +35,10 @@
 
   private date({ runner, revision }: RegistryEntry): ListedRunner {
     const writtenAfter = this.revisionTimes.findTimeBefore(revision);
-    return writtenAfter === undefined ? runner : { ...runner, writtenAfter };
+    return {
+      ...runner,
+      ...(revision > 0 ? { revision } : {}),
+      ...(writtenAfter === undefined ? {} : { writtenAfter }),
+    };
   }
 }
--- a/packages/instance/src/events.ts
+++ b/packages/instance/src/events.ts
@@ -75,6 +75,7 @@
   runnerDraining: { code: 761, level: info, text: 'runner draining' },
   runnerUnlisted: { code: 762, level: info, text: 'runner removed from the registry' },
   runnerRestarted: { code: 763, level: warn, text: 'runner process restarted' },
+  entryContradicted: { code: 746, level: warn, text: 'registry entry contradicts its runner' },
   runnerCrashed: { code: 768, level: warn, text: 'runner crashed or presumed to have' },
   crashRetracted: { code: 769, level: info, text: 'runner had not crashed' },
   reportOutdated: { code: 767, level: warn, text: 'report of an earlier incarnation ignored' },
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -358,7 +358,11 @@
         capacity: this.staleCapacities.get(id) ?? entry.capacity,
       }))
       .map((entry) => this.staleEntries.get(entry.id) ?? entry)
-      .map((entry) => ({ ...entry, isDraining: this.drainingRunners.has(entry.id) }));
+      .map((entry) => ({
+        ...entry,
+        isDraining: this.drainingRunners.has(entry.id),
+        ...this.registry.overwritten.get(entry.id),
+      }));
   }
 
   private createClient(clock: Clock): VirtualRunnerClient<RunnerError> {
--- a/packages/instance/src/testing/VirtualRegistry.ts
+++ b/packages/instance/src/testing/VirtualRegistry.ts
@@ -1,3 +1,4 @@
+import type { ListedRunner } from '@apricothoist/dispatch';
 import type { VirtualCoordinationStore } from '@apricothoist/testing';
 
 interface Entry {
@@ -12,6 +13,9 @@
   /** Runners whose entries another writer has overwritten. */
   public readonly unreadableIds = new Set<string>();
 
+  /** Parts of entries that another writer has overwritten, by runner. */
+  public readonly overwritten = new Map<string, Partial<ListedRunner>>();
+
   public constructor(
     private readonly store: VirtualCoordinationStore,
     private readonly entryTtlMs: number,
--- a/packages/testing/src/VirtualRunnerClient.ts
+++ b/packages/testing/src/VirtualRunnerClient.ts
@@ -75,6 +75,7 @@
     const leaseDeadline = this.leaseDeadline(runner);
     const { task, run } = command;
     const answer = await this.call(
+      runner,
       { kind: CallKind.start, runnerId: runner.id, sentAt: this.options.now(), task, run },
       deadline,
       (target, now) => target.start(command, token, leaseDeadline, now),
@@ -90,6 +91,7 @@
   ): Promise<Result<void, E>> {
     const { task, run } = command;
     const answer = await this.call<boolean | StartOutcome>(
+      runner,
       { kind: CallKind.stop, runnerId: runner.id, sentAt: this.options.now(), task, run },
       deadline,
       (target, now) => target.stop(command, token, now),
@@ -107,6 +109,7 @@
     const { acknowledgedEnd } = request;
     const sentAt = this.options.now();
     const answer = await this.call<boolean | VirtualReport | StartOutcome>(
+      runner,
       { kind: CallKind.report, runnerId: runner.id, sentAt, acknowledgedEnd },
       deadline,
       (target, now) =>
@@ -137,6 +140,7 @@
 
   // Resolves to undefined at the deadline if there is no answer.
   private async call<T>(
+    { address }: ListedRunner,
     call: VirtualCall,
     deadline: number,
     execute: (target: VirtualRunner, now: number) => T,
@@ -151,7 +155,7 @@
     if (this.isRefusing(call.runnerId)) {
       return undefined;
     }
-    if (this.options.isCut(call.runnerId)) {
+    if (this.options.isCut(call.runnerId) || address !== target.entry.address) {
       return expired;
     }
     const executeNow = (isBoundToProcess: boolean): T | undefined => {
