--- a/packages/dispatch/src/ListedRunner.ts
+++ b/packages/dispatch/src/ListedRunner.ts
@@ -15,4 +15,6 @@
   readonly minRemainingMs?: number;
   /** Start of the runner process, Unix milliseconds; 0: unknown. */
   readonly processStartedAt: number;
+  /** Revision of the last write of the entry; absent if unknown. */
+  readonly revision?: number;
 }
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -1,6 +1,7 @@
 import type { ListedRunner } from './ListedRunner.js';
 import type { Resources } from './Resources.js';
 import { add, clampToZero, noResources, subtract } from './Resources.js';
+import { RunnerIdentity } from './RunnerIdentity.js';
 import { RunnerSpeed } from './RunnerSpeed.js';
 import type { StrayRun } from './StrayRun.js';
 import type { Member, TaskGroup } from './TaskGroup.js';
@@ -83,7 +84,36 @@
 
   public readonly speed = new RunnerSpeed();
 
-  public constructor(public listed: ListedRunner) {}
+  public readonly identity: RunnerIdentity;
+
+  public constructor(public listed: ListedRunner) {
+    this.identity = new RunnerIdentity(listed);
+  }
+
+  /**
+   * Applies an entry that describes the present incarnation.
+   *
+   * @param listedAt monotonic time of the request for the listing
+   * @param formerListedAt that of the listing before
+   * @returns whether the runner has begun to drain
+   */
+  public applyEntry(entry: ListedRunner, listedAt: number, formerListedAt: number): boolean {
+    const beginsToDrain = entry.isDraining && !this.isDraining;
+    if (beginsToDrain) {
+      const remainingMs = entry.minRemainingMs ?? Infinity;
+      this.departsAt = listedAt + remainingMs;
+      this.earliestDepartureAt = formerListedAt + remainingMs;
+    }
+    if (entry.isDraining) {
+      this.drainedIncarnation = entry.processStartedAt;
+    } else {
+      this.departsAt = Infinity;
+      this.earliestDepartureAt = Infinity;
+    }
+    this.listed = entry;
+    this.isEntryOutdated = false;
+    return beginsToDrain;
+  }
 
   public get id(): string {
     return this.listed.id;
--- a/packages/instance/src/RunnerLister.ts
+++ b/packages/instance/src/RunnerLister.ts
@@ -26,7 +26,10 @@
     const requestedAt = this.clock.monotonic();
     const listing = await this.registry.list(deadline);
     return listing.map(({ entries, unreadableIds }) => ({
-      runners: entries.map(({ runner }) => runner),
+      runners: entries.map(({ runner, revision }) => ({
+        ...runner,
+        ...(revision > 0 ? { revision } : {}),
+      })),
       unreadableIds,
       requestedAt,
     }));
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -367,7 +367,10 @@
       }))
       .map((entry) => this.staleEntries.get(entry.id) ?? entry)
       .map((entry) => ({ ...entry, ...this.announcementOf(entry.id) }))
-      .map((entry) => this.registry.show(entry));
+      .map((entry) => ({
+        ...this.registry.show(entry),
+        ...this.registry.overwritten.get(entry.id),
+      }));
   }
 
   private announcementOf(id: string): Pick<ListedRunner, 'isDraining' | 'minRemainingMs'> {
--- a/packages/instance/src/testing/VirtualRegistry.ts
+++ b/packages/instance/src/testing/VirtualRegistry.ts
@@ -19,6 +19,9 @@
   /** Runners whose entries the next listing lacks. */
   public readonly idsToOmit = new Set<string>();
 
+  /** Parts of entries that another writer has overwritten, by runner. */
+  public readonly overwritten = new Map<string, Partial<ListedRunner>>();
+
   public constructor(
     private readonly store: VirtualCoordinationStore,
     private readonly entryTtlMs: number,
