A worker that the lists lack is not proven to have stopped

Callers of apricothoistd could see a job at work twice: on a worker that two lists had lacked and that its leader had not reached for 14 s, and beside it.

Cause: such a worker counted as one that no longer exists, which ended its tasks without the fence. The fence is there because other instances may renew leases: one that is cut off from the store and from its leader, and reaches the worker, renews them for hours.

The new test failed before: the next attempt was at work with nothing fenced.

--- a/packages/scheduler/src/scheduler.test.ts
+++ b/packages/scheduler/src/scheduler.test.ts
@@ -76,6 +76,9 @@
 
   public readonly usable = new Set(workers.map((worker) => worker.id));
 
+  /** Workers that the lists have lacked for long. */
+  public readonly gone = new Set<string>();
+
   /** Task states that override those the plan implies, by `attempt/worker`. */
   public readonly states = new Map<string, ObservedState>();
 
@@ -167,7 +170,7 @@
       workerId,
       planRevision: isUsable ? this.plan.revision : 0,
       reportedAt: isUsable ? this.now : -Infinity,
-      isGone: false,
+      isGone: this.gone.has(workerId),
       tasks: new Map(tasks),
     };
   }
@@ -352,6 +355,19 @@
   t.is(fixture.attempt('gang')?.state, AttemptState.running);
 });
 
+// Another instance may reach the worker, and renew its leases while it does not reach the store.
+test('a task is not started beside one on a worker that the lists lack', (t) => {
+  const fixture = new SchedulerFixture();
+  fixture.submit(createTestJob('single', 'borrower', shape(1, 8))).settle();
+  const first = fixture.attempt('single');
+  const worker = first?.tasks[0]?.workerId ?? '';
+  fixture.usable.delete(worker);
+  fixture.gone.add(worker);
+  fixture.step(15_000).settle();
+  t.is(fixture.attempt('single')?.state, AttemptState.releasing);
+  t.is(fixture.attempt('single')?.id, first?.id);
+});
+
 test('a gang that is not reserved in time is released and retried', (t) => {
   const fixture = new SchedulerFixture();
   fixture.submit(createTestJob('gang', 'borrower', shape(2, 8, true))).step();
