--- a/packages/instance/src/FeedRequest.ts
+++ b/packages/instance/src/FeedRequest.ts
@@ -12,6 +12,9 @@
 /** Bytes of the largest request: the largest body of a submission and its job as decoded. */
 export const maxRequestBytes = 1_000_000;
 
+/** Longest time in milliseconds that a request may take; clients wait for seconds. */
+export const maxLeftMs = 60_000;
+
 export const ForwardedOperation = { submit: 'submit', state: 'state', cancel: 'cancel' } as const;
 export type ForwardedOperation = (typeof ForwardedOperation)[keyof typeof ForwardedOperation];
 
--- a/packages/instance/src/ForwardedRequestHandler.ts
+++ b/packages/instance/src/ForwardedRequestHandler.ts
@@ -4,15 +4,13 @@
 import { JobEvents } from './events.js';
 import { decodeForwardedRequest } from './feedMessages.js';
 import type { FeedAnswer, FeedRequest, ForwardedRequest, ForwardedResult } from './FeedRequest.js';
-import { feedRequestVersion, ForwardedOperation } from './FeedRequest.js';
+import { feedRequestVersion, ForwardedOperation, maxLeftMs } from './FeedRequest.js';
 import type { JobService } from './JobService.js';
 
 /** Requests that the scheduling instance serves at once: several hundred followers' share. */
 const maxOpenRequests = 512;
 /** Milliseconds of a deadline that are reserved for the way of the answer. */
 const answerTransitMs = 20;
-/** Longest time in milliseconds that a request may take; clients wait for seconds. */
-const maxLeftMs = 60_000;
 
 type Handler<Operation extends ForwardedOperation> = (
   jobs: JobService,
--- a/packages/instance/src/HolderRequests.ts
+++ b/packages/instance/src/HolderRequests.ts
@@ -3,7 +3,7 @@
 
 import { decodeForwardedResult } from './feedMessages.js';
 import type { FeedAnswer, ForwardedRequest, ForwardedResult } from './FeedRequest.js';
-import { feedRequestVersion, maxRequestBytes } from './FeedRequest.js';
+import { feedRequestVersion, maxLeftMs, maxRequestBytes } from './FeedRequest.js';
 import type { HolderReport } from './StoreReachability.js';
 
 export const ForwardOutcome = {
@@ -120,7 +120,7 @@
   }
 
   private exchange(body: ForwardedRequest, deadline: number): Promise<Forwarding> {
-    const leftMs = deadline - this.clock.monotonic();
+    const leftMs = Math.min(maxLeftMs, deadline - this.clock.monotonic());
     const notTaken = (reason: string): Promise<Forwarding> =>
       Promise.resolve({ outcome: ForwardOutcome.notTaken, reason });
     if (this.send === undefined || !this.isAvailable || leftMs <= 0) {
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -24,3 +24,11 @@
 export { JobEvents } from './events.js';
 export { SuspendAwareClock } from './SuspendAwareClock.js';
 export { InstanceMetrics } from './InstanceMetrics.js';
+export {
+  countTasks,
+  maxDurationMs,
+  maxJobTasks,
+  maxResourceAmount,
+  maxStepTasks,
+  maxWallMs,
+} from './storedRecords.js';
--- a/packages/instance/src/oddMessages.test.ts
+++ b/packages/instance/src/oddMessages.test.ts
@@ -82,3 +82,14 @@
   }
   t.is(handler.counts.rejected, oddBodies.length);
 });
+
+// A timer that is set for longer than it can wait ends at once.
+test('a request with an endless deadline waits for its answer', async (t) => {
+  const requests = new HolderRequests(clock);
+  requests.connect(() => true);
+  requests.recordReport(true, 1);
+  const answer = requests.forward({ operation: 'cancel', id }, 1e308);
+  await delay(50);
+  requests.receive({ answerTo: 1, result: { cancel: Lookup.found } });
+  t.is((await answer).outcome, ForwardOutcome.answered);
+});
