--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -26,9 +26,11 @@
 export { InstanceMetrics } from './InstanceMetrics.js';
 export {
   countTasks,
+  decodeRecord,
   maxDurationMs,
   maxJobTasks,
   maxResourceAmount,
   maxStepTasks,
   maxWallMs,
+  storedJobSchema,
 } from './storedRecords.js';
--- a/packages/instance/src/storedRecords.ts
+++ b/packages/instance/src/storedRecords.ts
@@ -45,14 +45,14 @@
   perRunnerLimit: z.exactOptional(z.number().int()),
   savesProgress: z.boolean().default(false),
   isLasting: z.boolean().default(false),
-  mayMiss: z.exactOptional(count),
+  mayMiss: z.exactOptional(z.number().int().min(0)),
   usesLeftover: z.boolean().default(false),
 });
 
 const adviceSchema = z.object({
-  decisionMs: durationMs,
-  periodMs: durationMs,
-  validityMs: durationMs,
+  decisionMs: z.number(),
+  periodMs: z.number(),
+  validityMs: z.number(),
 });
 
 export const queueSchema = z.object({
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -53,3 +53,4 @@
 export type { ReplayedJob, ReplayVariation } from './ReplaySimulation.js';
 export type { ReplayedRun } from './ReplayRunner.js';
 export type { UsageSecond } from './ReplayUsage.js';
+export { oddTexts } from './oddValues.js';
