--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -24,3 +24,13 @@
 export { JobEvents } from './events.js';
 export { SuspendAwareClock } from './SuspendAwareClock.js';
 export { InstanceMetrics } from './InstanceMetrics.js';
+export {
+  countTasks,
+  decodeRecord,
+  maxDurationMs,
+  maxJobTasks,
+  maxResourceAmount,
+  maxStepTasks,
+  maxWallMs,
+  storedJobSchema,
+} from './storedRecords.js';
