RunnerChecks: the clock alone does not end the runs on runners that answer

Cause: the leases on a runner counted as expired by one reading of the steady clock, whether the runner answered or not. One wrong reading ended the runs on all runners at once; after a suspension the holder guessed what the next answer lists.

Change: while the last call to a listed runner was answered, the next answer decides: it lists what has lapsed, renews the lease or does not arrive. After 2 s without one the lease counts as expired, as before.

--- a/packages/dispatch/src/RunnerChecks.ts
+++ b/packages/dispatch/src/RunnerChecks.ts
@@ -14,6 +14,8 @@
 const completePercent = 100;
 /** Milliseconds by which the wall clock has to gain on the steady clock to count as a step. */
 const minClockStepMs = 50;
+/** Milliseconds within which a runner has answered a call or counts as silent. */
+const answerTimeoutMs = 2_000;
 /** Milliseconds after which a stop command without effect is sent again. */
 const stopRetryMs = 700;
 
@@ -32,6 +34,9 @@
 export class RunnerChecks {
   private readonly stopSentAt = new Map<string, number>();
 
+  /** Steady times at which leases were first seen to have expired. */
+  private readonly expiredSince = new WeakMap<Runner, number>();
+
   /** Milliseconds by which the monotonic time of the last check was ahead of the steady time. */
   private clockLeadMs: number | undefined;
 
@@ -81,7 +86,7 @@
       extendLease(runner, this.state.bounds, steadyNow);
     }
     const runs = runner.occupants.size + runner.runningStrays.length;
-    if (runs > 0 && runner.leaseEnd > 0 && steadyNow > runner.leaseEnd) {
+    if (runs > 0 && this.haveLeasesExpired(runner, steadyNow)) {
       this.state.log.decide('runnerLeasesExpired', {
         runner: runner.id,
         tasks: runs,
@@ -116,6 +121,18 @@
     });
   }
 
+  // A runner that answers lists what has lapsed: a reading of the clock alone does not end its runs.
+  private haveLeasesExpired(runner: Runner, steadyNow: number): boolean {
+    if (runner.leaseEnd === 0 || steadyNow <= runner.leaseEnd) {
+      this.expiredSince.delete(runner);
+      return false;
+    }
+    const expiredSince = this.expiredSince.get(runner) ?? steadyNow;
+    this.expiredSince.set(runner, expiredSince);
+    const isCalled = runner.isListed && runner.unansweredCalls === 0;
+    return !isCalled || steadyNow - expiredSince >= answerTimeoutMs;
+  }
+
   private isStopDue(task: string, run: number, now: number): boolean {
     const sentAt = this.stopSentAt.get(occupantKey(task, run));
     return sentAt !== undefined && now - sentAt > stopRetryMs;
