departureFaults: holders that each reach one data centre

Cause: a cut separated a runner from all instances, so that a successor never reached what its predecessor could not.

Change: a data centre is cut off from the holder, and after some time the others from its successor. Drawn from a source of its own. endAssumptions.test.ts also has entries with another service.

--- a/packages/instance/src/departureFaults.test.ts
+++ b/packages/instance/src/departureFaults.test.ts
@@ -11,7 +11,7 @@
 
 /** Seeds of the property test; RUN_SEEDS=FROM-TO plays others. */
 const ciSeeds = [1, 2, 3, 18, 22, 27, 28, 29, 32, 51];
-const registryCiSeeds = [1, 4, 16, 23, 29, 42, 64, 70, 85, 122, 180];
+const registryCiSeeds = [1, 13, 20, 36, 53, 71, 80, 105, 124, 148, 180];
 const chosenSeeds = readSeeds(process.env.RUN_SEEDS);
 
 /** Milliseconds between two draws of faults. */
--- a/packages/instance/src/endAssumptions.test.ts
+++ b/packages/instance/src/endAssumptions.test.ts
@@ -86,6 +86,7 @@
     runners: 0,
     play: overwrite({ isDraining: true, minRemainingMs: 0 }),
   },
+  { title: 'entries name another service', runners: 0, play: overwrite({ service: 'other' }) },
   { title: 'entries show a later start', runners: 0, play: overwrite({ processStartedAt: 5 }) },
   { title: 'entries show an earlier start', runners: 0, play: overwrite({ processStartedAt: 0 }) },
   {
--- a/packages/instance/src/testing/RegistryFaults.ts
+++ b/packages/instance/src/testing/RegistryFaults.ts
@@ -11,6 +11,8 @@
 /** Milliseconds for which a reset runner refuses new connections. */
 const resetMs: Period = [10, 40];
 const centreCutMs: Period = [300, 9_000];
+const partitionRate = 0.004;
+const partitionMs: Period = [500, 5_000];
 /** Milliseconds between the steps of a departure: connections, entry and process. */
 const departureStepMs: Period = [0, 400];
 /** Milliseconds from the request to drain a data centre until its runners leave. */
@@ -34,6 +36,8 @@
 export class RegistryFaults {
   private readonly random: Random;
 
+  private readonly partitionRandom: Random;
+
   /** Runners that cannot reach the registry. */
   public readonly unregistered = new Set<string>();
 
@@ -43,6 +47,7 @@
     private readonly drain: (id: string, durationMs: number) => void,
   ) {
     this.random = new Random(seed);
+    this.partitionRandom = new Random(-seed);
   }
 
   /** Draws the faults that begin in an interval. */
@@ -67,11 +72,36 @@
     if (this.isDrawn(deploymentRates.centreCut)) {
       this.addFor([refusingRunners, this.unregistered], ids, centreCutMs);
     }
+    this.beginPartition();
     if (this.isDrawn(deploymentRates.centreDrained)) {
       ids.filter((id) => pool.get(id).isUp).forEach((id) => this.drain(id, this.between(drainMs)));
     }
   }
 
+  /** Cuts a data centre off from the holder, and then the others from its successor, which is in it. */
+  private beginPartition(): void {
+    const random = this.partitionRandom;
+    const { deployment } = this;
+    if (random.fraction() >= partitionRate) {
+      return;
+    }
+    const centre = dataCentres[random.below(dataCentres.length)];
+    const inside = deployment.pool.all.filter(({ entry }) => entry.dataCentre === centre);
+    const outside = deployment.pool.all.filter(({ entry }) => entry.dataCentre !== centre);
+    const [min, max] = partitionMs;
+    const takeoverAfterMs = min + random.below(max - min);
+    inside.forEach(({ id }) => deployment.cutRunners.add(id));
+    setTimeout(() => {
+      inside.forEach(({ id }) => deployment.cutRunners.delete(id));
+      outside.forEach(({ id }) => deployment.cutRunners.add(id));
+      deployment.takeOver();
+    }, takeoverAfterMs);
+    setTimeout(
+      () => outside.forEach(({ id }) => deployment.cutRunners.delete(id)),
+      takeoverAfterMs + min + random.below(max - min),
+    );
+  }
+
   /** Announces that a draining runner remains for a while. */
   public announce(id: string, durationMs: number): void {
     const { announcedEnds, now } = this.deployment;
