A runner whose entry cannot be read keeps its runs as long as it answers

After two seconds with an entry of another writer over that of a runner at work the runner counted as unlisted: its leases were not extended, and what ran there was lost although it answered. It is called with each listing, keeps its runs as long as it answers, and gets no others until its own entry is back; one that does not answer is missing as before.

Measured: two new tests in oddEntries.test.ts; the first fails without the call to holdUnreadable and without the outdated entry, the second without the due report.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -270,7 +270,7 @@
     now: number,
   ): void {
     const runner = this.state.runners.get(runnerId);
-    if (runner?.listed.processStartedAt === processStartedAt && !runner.identity.isInDoubt) {
+    if (runner?.listed.processStartedAt === processStartedAt) {
       recordStopResponse(runner, task, run, now);
     }
   }
--- a/packages/dispatch/src/RunnerListing.ts
+++ b/packages/dispatch/src/RunnerListing.ts
@@ -52,8 +52,14 @@
       }
     });
     this.state.runners.forEach((runner) => {
-      if (!ids.has(runner.id) && runner.isListed) {
-        this.recordMissing(runner, unreadableIds.has(runner.id), now);
+      const isUnreadable = unreadableIds.has(runner.id);
+      if (ids.has(runner.id) || !runner.isListed) {
+        return;
+      }
+      if (isUnreadable && runner.isFenced && runner.unansweredCalls === 0) {
+        holdUnreadable(runner);
+      } else {
+        this.recordMissing(runner, isUnreadable, now);
       }
     });
     updateSpeedClasses(this.state);
@@ -162,6 +168,12 @@
   }
 }
 
+// A runner whose entry another writer has overwritten keeps its runs as long as it answers.
+function holdUnreadable(runner: Runner): void {
+  runner.isEntryOutdated = true;
+  runner.isReportDue = true;
+}
+
 function recordWrite(runner: Runner, { writtenAfter = -Infinity }: ListedRunner): void {
   runner.entryWrittenAfter = Math.max(runner.entryWrittenAfter, writtenAfter);
 }
--- a/packages/instance/src/oddEntries.test.ts
+++ b/packages/instance/src/oddEntries.test.ts
@@ -131,3 +131,38 @@
   t.true(await deployment.runUntilCompleted(oddMs + usedWithinMs + durationMs));
   t.deepEqual(findOverlaps(deployment.pool.records), []);
 });
+
+// Its leases were not extended after two seconds, and what ran there was lost.
+test.serial('a runner whose entry cannot be read keeps its runs and gets no others', async (t) => {
+  using deployment = new VirtualDeployment({ runners: 1, durationMs: 12_000 });
+  deployment.submit(jobId, [plainStep]);
+  deployment.takeOver();
+  await deployment.run(1_000);
+  deployment.registry.unreadableIds.add('r1');
+  await deployment.run(oddMs);
+  deployment.submit(nextJobId, [plainStep]);
+  t.true(await deployment.runUntil(() => deployment.stateOf(jobId) === JobState.completed, 11_000));
+  t.is(deployment.pool.records.length, 1);
+  deployment.registry.unreadableIds.delete('r1');
+  await deployment.run(usedWithinMs);
+  t.is(deployment.pool.records.length, 2, 'a sound entry is used at once');
+});
+
+test.serial('a runner that is gone does not stay for an entry that cannot be read', async (t) => {
+  using deployment = new VirtualDeployment({ runners: 3, durationMs: 4_000 });
+  deployment.submit(jobId, [plainStep]);
+  deployment.takeOver();
+  await deployment.run(1_000);
+  const { pool, registry } = deployment;
+  const busyId = pool.records[0]?.runnerId;
+  const gone = pool.all.filter(({ id }) => id === busyId || id === 'r3');
+  gone.forEach((runner) => {
+    registry.unreadableIds.add(runner.id);
+    runner.crash(deployment.now);
+  });
+  await deployment.run(5_000);
+  const { runners } = deployment.scheduling.dispatcher.state;
+  t.false(gone.some(({ id }) => runners.get(id)?.isListed));
+  t.true(await deployment.runUntilCompleted(12_000));
+  t.deepEqual(findOverlaps(deployment.pool.records), []);
+});
