--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -66,13 +66,8 @@
 
   private resumeLoop: (() => void) | undefined;
 
-  private endBackOff: (() => void) | undefined;
-
   private retryMs = firstRetryMs;
 
-  /** Whether the incarnation was in doubt when the present back-off began. */
-  private wasInDoubt = false;
-
   /** Whether a call is open that was sent to a confirmed incarnation. */
   private isConfirmedCallOpen = false;
 
@@ -101,9 +96,6 @@
     if (!this.runner.isListed) {
       this.endConfirmation();
     }
-    if (this.runner.identity.isInDoubt && !this.wasInDoubt) {
-      this.endBackOff?.();
-    }
     if (this.needsCall && !this.hasUnstoredEnds) {
       this.resumeLoop?.();
     }
@@ -191,17 +183,8 @@
     await this.backOff();
   }
 
-  // An entry of another incarnation is a reason to call at once.
   private async backOff(): Promise<void> {
-    this.wasInDoubt = this.runner.identity.isInDoubt;
-    await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, this.random.jitter(this.retryMs, retryJitter));
-      this.endBackOff = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
-    this.endBackOff = undefined;
+    await delay(this.random.jitter(this.retryMs, retryJitter));
     this.retryMs = Math.min(maxRetryMs, this.retryMs * 2);
   }
 
@@ -296,7 +279,6 @@
   public [Symbol.dispose](): void {
     this.isStopped = true;
     this.resumeLoop?.();
-    this.endBackOff?.();
     this.endConfirmation();
   }
 }
