--- a/packages/instance/src/RunnerClient.ts
+++ b/packages/instance/src/RunnerClient.ts
@@ -10,8 +10,6 @@
 
 export const RunnerErrorKind = {
   unanswered: 'unanswered',
-  /** The runner closed the connection without an answer, or refused it. */
-  disconnected: 'disconnected',
   /** A scheduling instance with a higher token has taken over. */
   fenced: 'fenced',
   /** A restarted runner process responds at this address. */
--- a/packages/instance/src/RunnerRegistry.ts
+++ b/packages/instance/src/RunnerRegistry.ts
@@ -14,8 +14,6 @@
   readonly entries: readonly RegistryEntry[];
   /** Ids of the runners whose entries are there but cannot be read. */
   readonly unreadableIds: ReadonlySet<string>;
-  /** Revision of the store when the listing began. */
-  readonly revision: number;
 }
 
 /** Registry of the available runners. */
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -349,12 +349,11 @@
     idsToOmit.clear();
     return this.isRegistryUnreadable
       ? err(new CoordinationError(CoordinationErrorKind.unanswered, 'no response'))
-      : listed.map(({ revision }) => ({
+      : listed.map(() => ({
           entries: runners
             .filter(({ id }) => !unreadableIds.has(id))
             .map((runner) => ({ runner, revision: this.registry.revisionOf(runner.id) })),
           unreadableIds,
-          revision,
         }));
   }
 
--- a/packages/instance/src/testing/fakeRegistry.ts
+++ b/packages/instance/src/testing/fakeRegistry.ts
@@ -8,6 +8,6 @@
   const entries = runners.map((runner) => ({ runner, revision: 1 }));
   return {
     invalidEntries: 0,
-    list: async () => ok({ entries, unreadableIds: new Set(), revision: 1 }),
+    list: async () => ok({ entries, unreadableIds: new Set() }),
   };
 }
--- a/packages/testing/src/VirtualRunnerClient.ts
+++ b/packages/testing/src/VirtualRunnerClient.ts
@@ -10,7 +10,7 @@
 import type { VirtualReport, VirtualRunner } from './VirtualRunner.js';
 import type { VirtualRunnerPool } from './VirtualRunnerPool.js';
 
-export type VirtualCallErrorKind = 'unanswered' | 'disconnected' | 'fenced' | 'refused';
+export type VirtualCallErrorKind = 'unanswered' | 'fenced' | 'refused';
 
 export interface VirtualRunnerClientOptions<E> {
   /** Clock of the instance that calls. */
@@ -142,8 +142,7 @@
   ): Result<T, E> {
     const { createError } = this.options;
     if (answer === undefined) {
-      const kind = this.isRefusing(runnerId) ? 'disconnected' : 'unanswered';
-      return err(createError(kind, `no answer of ${runnerId}`));
+      return err(createError('unanswered', `no answer of ${runnerId}`));
     }
     if (answer === false) {
       return err(createError('fenced', `${runnerId} has seen a higher token`));
