--- a/packages/instance/src/Scheduling.ts
+++ b/packages/instance/src/Scheduling.ts
@@ -1,11 +1,5 @@
 import { delay, messageOf } from '@apricothoist/common';
-import type {
-  DecisionKind,
-  DecisionLog,
-  Runner,
-  StartCommand,
-  StartOutcome,
-} from '@apricothoist/dispatch';
+import type { DecisionKind, DecisionLog, StartCommand, StartOutcome } from '@apricothoist/dispatch';
 import { defaultPolicy, Dispatcher } from '@apricothoist/dispatch';
 
 import { FeedUpdateBuffer, isIdle } from './FeedUpdateBuffer.js';
@@ -27,19 +21,14 @@
 import type { RunnerList } from './RunnerLister.js';
 import { RunnerLister } from './RunnerLister.js';
 import type { RunnerLinkOwner } from './RunnerLink.js';
-import { RunnerLink } from './RunnerLink.js';
+import { RunnerLinks } from './RunnerLinks.js';
 import type { SchedulingServices } from './SchedulingServices.js';
-import { StoreTiming } from './StoreTiming.js';
 import { UnreadableRecords } from './UnreadableRecords.js';
 
 /** Milliseconds between scheduling steps while no event arrives. */
 const idleStepIntervalMs = 100;
 /** Milliseconds for which events are batched into one scheduling step. */
 const stepBatchMs = 4;
-/**
- * Milliseconds between reads of the runner registry; a drain must be detected within two seconds.
- */
-const listIntervalMs = 700;
 /**
  * Milliseconds that a watch of accepted jobs waits; an unresponsive watch is detected soon after.
  */
@@ -68,7 +57,7 @@
   /** Cost of the load of the stored state; undefined until it is done. */
   public loadCost: LoadCost | undefined;
 
-  private readonly links = new Map<string, RunnerLink>();
+  private readonly links: RunnerLinks;
 
   private readonly lastStoredEnds = new Map<string, { processStartedAt: number; end: number }>();
 
@@ -98,8 +87,6 @@
 
   private resumeLoop: (() => void) | undefined;
 
-  private runnersListedAt = -Infinity;
-
   private readonly feedUpdates = new FeedUpdateBuffer();
 
   private readonly learnedState: LearnedStateStore;
@@ -108,8 +95,6 @@
 
   public readonly maintenance: MaintenanceWaves | undefined;
 
-  private isListingRunners = false;
-
   private isRemovingJobs = false;
 
   /** Failed writes of progress in this term. */
@@ -136,6 +121,7 @@
     }
     const { runners, registry } = services;
     this.runnerLister = new RunnerLister(registry, clock);
+    this.links = new RunnerLinks(services, this.dispatcher, this, (error) => this.logError(error));
     this.commandSender = new CommandSender(
       this.dispatcher,
       runners,
@@ -203,7 +189,7 @@
       // While the lease is in doubt, the sender does not send them, and their runs end at once.
       this.commandSender.start(starts);
       if (ends.length > 0) {
-        this.updateLinks();
+        this.links.update();
       }
       this.wake();
     });
@@ -269,7 +255,7 @@
   }
 
   public async confirmRunner(runnerId: string): Promise<boolean> {
-    return (await this.links.get(runnerId)?.confirm()) ?? false;
+    return this.links.confirm(runnerId);
   }
 
   public reportUnansweredCall(runnerId: string, message: string): void {
@@ -340,12 +326,11 @@
     this.isLoading = true;
     this.learnedState.restore(stored.learnedState);
     this.applyRunnerList(runners);
-    this.runnersListedAt = runners.requestedAt;
     this.jobLoader.loadAll(jobs, progress);
     this.isLoading = false;
     this.watch.start((error, loop) => this.logError(error, loop), revision);
     this.adviceLoop.start((error, loop) => this.logError(error, loop));
-    this.updateLinks();
+    this.links.update();
     log.emit(JobEvents.storedStateLoaded, {
       token: this.termToken,
       jobs: this.dispatcher.state.jobs.size,
@@ -382,7 +367,7 @@
   }
 
   private step(): void {
-    this.listRunnersIfDue();
+    this.listRunnersIfDue().catch((error: unknown) => this.logError(error));
     const { clock, steadyClock, evacuations } = this.services;
     this.dispatcher.evacuate(evacuations.dataCentres, evacuations.confirmedAt);
     this.maintenance?.step();
@@ -397,7 +382,7 @@
     this.progress.waitingStarts.forEach(({ runnerId }) =>
       this.dispatcher.recordLeaseExtension(runnerId, steadyClock.monotonic()),
     );
-    this.updateLinks();
+    this.links.update();
     this.adviceLoop.wake();
     this.removeExpiredJobs().catch((error: unknown) => this.logError(error));
     this.heldJobs.readIfDue().catch((error: unknown) => this.logError(error));
@@ -456,59 +441,19 @@
     });
   }
 
-  private listRunnersIfDue(): void {
-    if (this.isListingRunners || this.now - this.runnersListedAt < listIntervalMs) {
-      return;
+  private async listRunnersIfDue(): Promise<void> {
+    const runners = await this.runnerLister.listIfDue();
+    if (runners !== undefined && !this.isStopped) {
+      this.applyRunnerList(runners);
+      this.links.update();
+      this.wake();
     }
-    this.isListingRunners = true;
-    const requestedAt = this.now;
-    this.runnersListedAt = requestedAt;
-    this.runnerLister
-      .list(requestedAt + StoreTiming.callTimeoutMs)
-      .then((runners) => {
-        if (runners.isOk() && !this.isStopped) {
-          this.applyRunnerList(runners.value);
-          this.updateLinks();
-          this.wake();
-        }
-      })
-      .catch((error: unknown) => this.logError(error))
-      .finally(() => {
-        this.isListingRunners = false;
-      });
   }
 
   private applyRunnerList({ runners, unreadableIds, requestedAt }: RunnerList): void {
     this.dispatcher.updateRunners(runners, this.now, requestedAt, unreadableIds);
   }
 
-  private updateLinks(): void {
-    const { runners } = this.dispatcher.state;
-    this.links.forEach((link, id) => {
-      const runner = runners.get(id);
-      if (runner === undefined || !link.serves(runner)) {
-        link[Symbol.dispose]();
-        this.links.delete(id);
-      }
-    });
-    runners.forEach((runner) => {
-      const link = this.links.get(runner.id);
-      if (link !== undefined) {
-        link.wake();
-      } else if (runner.isListed) {
-        this.addLink(runner);
-      }
-    });
-  }
-
-  private addLink(runner: Runner): void {
-    const { runners, clock, steadyClock, random } = this.services;
-    const { dispatcher } = this;
-    const link = new RunnerLink(runner, runners, dispatcher, this, clock, steadyClock, random);
-    this.links.set(runner.id, link);
-    link.start((error) => this.logError(error));
-  }
-
   // Several writes fail at the same time while the store is out of reach.
   private logUnstored({ kind, message }: CoordinationError, jobs: number): void {
     this.unstoredFailures += 1;
@@ -531,8 +476,7 @@
     this.maintenance?.[Symbol.dispose]();
     this.progress[Symbol.dispose]();
     this.adviceLoop[Symbol.dispose]();
-    this.links.forEach((link) => link[Symbol.dispose]());
-    this.links.clear();
+    this.links[Symbol.dispose]();
     this.resumeLoop?.();
   }
 }
