--- a/packages/instance/src/CommandSender.ts
+++ b/packages/instance/src/CommandSender.ts
@@ -72,7 +72,7 @@
       // The run must not count as ended by its lease while the call waits for the confirmation.
       this.dispatcher.recordLeaseExtension(runnerId, this.steadyClock.monotonic());
       const isConfirmed = await this.owner.confirmRunner(runnerId);
-      const outcome = isConfirmed ? await this.callInTurn(command, batch, attemptMs) : undefined;
+      const outcome = isConfirmed ? await this.tryCall(command, batch, attemptMs) : undefined;
       if (outcome !== undefined) {
         outcomes.push(outcome);
       }
@@ -80,8 +80,10 @@
         break;
       }
     }
-    // The answers came from a process that is gone; the present one may still get the calls.
-    if (outcomes.length > 0 && runner?.listed.processStartedAt !== command.processStartedAt) {
+    // The answers may come from a process that is gone; the present one may still get the calls.
+    const isPresent =
+      runner?.listed.processStartedAt === command.processStartedAt && !runner.identity.isInDoubt;
+    if (outcomes.length > 0 && !isPresent) {
       outcomes.push(StartOutcome.unknown);
     }
     if (outcomes.includes(StartOutcome.unknown)) {
@@ -94,6 +96,20 @@
     this.owner.wake();
   }
 
+  // A call that throws may have been sent; without an outcome its run would never be settled.
+  private async tryCall(
+    command: StartCommand,
+    batch: StartBatch,
+    attemptMs: number,
+  ): Promise<StartOutcome | undefined> {
+    try {
+      return await this.callInTurn(command, batch, attemptMs);
+    } catch (error) {
+      this.onError(error);
+      return StartOutcome.unknown;
+    }
+  }
+
   /** Resolves to undefined if the call is not sent. */
   private async callInTurn(
     command: StartCommand,
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -2,6 +2,7 @@
 import { delay } from '@apricothoist/common';
 import type {
   Dispatcher,
+  ListedRunner,
   Runner,
   RunnerReport,
   StartCommand,
@@ -65,8 +66,13 @@
 
   private resumeLoop: (() => void) | undefined;
 
+  private endBackOff: (() => void) | undefined;
+
   private retryMs = firstRetryMs;
 
+  /** Whether the incarnation was in doubt when the present back-off began. */
+  private wasInDoubt = false;
+
   /** Whether a call is open that was sent to a confirmed incarnation. */
   private isConfirmedCallOpen = false;
 
@@ -85,8 +91,9 @@
     private readonly random: Random,
   ) {}
 
+  /** @param onError receives what ends a single call; the link goes on after a back-off */
   public start(onError: (error: unknown) => void): void {
-    this.run().catch(onError);
+    this.run(onError).catch(onError);
   }
 
   /** Checks again whether the runner has to be called. */
@@ -94,6 +101,9 @@
     if (!this.runner.isListed) {
       this.endConfirmation();
     }
+    if (this.runner.identity.isInDoubt && !this.wasInDoubt) {
+      this.endBackOff?.();
+    }
     if (this.needsCall && !this.hasUnstoredEnds) {
       this.resumeLoop?.();
     }
@@ -151,19 +161,50 @@
     return stored > (isKnown ? this.acknowledgedEnd : 0) ? stored : 0;
   }
 
-  private async run(): Promise<void> {
+  // A link that ended would leave its runner without leases, and its ends unheard.
+  private async run(onError: (error: unknown) => void): Promise<void> {
     while (!this.isStopped) {
-      if (!this.needsCall) {
-        await this.waitForWake();
-      } else {
-        if (this.hasUnstoredEnds && this.wasLastCallConfirmed) {
-          await this.waitForWake(maxStoreWaitMs);
-        }
-        await this.requestReport();
+      try {
+        await this.runOnce();
+      } catch (error) {
+        onError(error);
+        await this.backOffAfterError();
       }
     }
   }
 
+  private async runOnce(): Promise<void> {
+    if (!this.needsCall) {
+      await this.waitForWake();
+      return;
+    }
+    if (this.hasUnstoredEnds && this.wasLastCallConfirmed) {
+      await this.waitForWake(maxStoreWaitMs);
+    }
+    await this.requestReport();
+  }
+
+  private async backOffAfterError(): Promise<void> {
+    this.isConfirmedCallOpen = false;
+    this.dispatcher.recordUnansweredCall(this.runner.id, this.clock.monotonic());
+    this.endConfirmation();
+    await this.backOff();
+  }
+
+  // An entry of another incarnation is a reason to call at once.
+  private async backOff(): Promise<void> {
+    this.wasInDoubt = this.runner.identity.isInDoubt;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, this.random.jitter(this.retryMs, retryJitter));
+      this.endBackOff = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.endBackOff = undefined;
+    this.retryMs = Math.min(maxRetryMs, this.retryMs * 2);
+  }
+
   private get hasUnstoredEnds(): boolean {
     return this.runner.processedEndNumber > this.owner.lastStoredEnd(this.runner.id);
   }
@@ -204,12 +245,13 @@
     const deadline = this.clock.monotonic() + request.waitMs + responseTimeoutMs;
     this.isConfirmedCallOpen = isConfirmed;
     this.wasLastCallConfirmed = isConfirmed;
-    const report = await this.client.report(runner.listed, request, deadline);
+    const target = this.chooseTarget();
+    const report = await this.client.report(target, request, deadline);
     this.isConfirmedCallOpen = false;
     if (this.isStopped) {
       return;
     }
-    if (this.applyReport(report)) {
+    if (this.applyReport(report, target)) {
       this.retryMs = firstRetryMs;
       this.acknowledgedEnd = Math.max(this.acknowledgedEnd, acknowledgedEnd);
       this.endConfirmation();
@@ -218,30 +260,43 @@
     }
     this.endConfirmation();
     this.owner.wake();
-    await delay(this.random.jitter(this.retryMs, retryJitter));
-    this.retryMs = Math.min(maxRetryMs, this.retryMs * 2);
+    await this.backOff();
+  }
+
+  // A runner that does not answer may be found at the address of another entry, by turns. The call names
+  // the runner, so nothing else responds to it.
+  private chooseTarget(): ListedRunner {
+    const { listed, identity, unansweredCalls } = this.runner;
+    const isElsewhere = unansweredCalls % 2 === 1;
+    return (isElsewhere ? identity.elsewhere(listed.address) : undefined) ?? listed;
   }
 
   // Returns false if the call counts as unanswered.
-  private applyReport(report: Result<RunnerReport, RunnerError>): boolean {
+  private applyReport(report: Result<RunnerReport, RunnerError>, target: ListedRunner): boolean {
     const { runner, dispatcher, owner } = this;
-    if (report.isOk() && dispatcher.applyReport(runner.id, report.value, this.clock.monotonic())) {
+    const { address } = target;
+    const now = this.clock.monotonic();
+    if (report.isOk() && dispatcher.applyReport(runner.id, { ...report.value, address }, now)) {
       return true;
     }
-    if (report.isErr() && report.error.kind === RunnerErrorKind.fenced) {
+    // What refuses calls elsewhere need not be the runner.
+    const isAtKnownAddress = address === runner.listed.address;
+    const error = report.isErr() && isAtKnownAddress ? report.error : undefined;
+    if (error?.kind === RunnerErrorKind.fenced) {
       owner.yieldToSuccessor(runner.id);
     } else if (runner.unansweredCalls === 0) {
       const message = report.isErr() ? report.error.message : 'report of an earlier incarnation';
       owner.reportUnansweredCall(runner.id, message);
     }
-    const isDisconnected = report.isErr() && report.error.kind === RunnerErrorKind.disconnected;
-    dispatcher.recordUnansweredCall(runner.id, this.clock.monotonic(), isDisconnected);
+    const isDisconnected = error?.kind === RunnerErrorKind.disconnected;
+    dispatcher.recordUnansweredCall(runner.id, now, isDisconnected);
     return false;
   }
 
   public [Symbol.dispose](): void {
     this.isStopped = true;
     this.resumeLoop?.();
+    this.endBackOff?.();
     this.endConfirmation();
   }
 }
--- a/packages/instance/src/testing/VirtualDeployment.ts
+++ b/packages/instance/src/testing/VirtualDeployment.ts
@@ -228,7 +228,7 @@
       store: this.options.wrapStore?.(this.store) ?? this.store,
       evacuations: this.evacuations,
       maintenance: this.options.maintenance,
-      registry: { list: () => this.listRegistry() },
+      registry: { invalidEntries: 0, list: () => this.listRegistry() },
       revisionTimes,
       runners: this.createClient(clock),
       ...(this.options.advice && { advice: this.options.advice }),
@@ -358,7 +358,11 @@
         capacity: this.staleCapacities.get(id) ?? entry.capacity,
       }))
       .map((entry) => this.staleEntries.get(entry.id) ?? entry)
-      .map((entry) => ({ ...entry, isDraining: this.drainingRunners.has(entry.id) }));
+      .map((entry) => ({
+        ...entry,
+        isDraining: this.drainingRunners.has(entry.id),
+        ...this.registry.overwritten.get(entry.id),
+      }));
   }
 
   private createClient(clock: Clock): VirtualRunnerClient<RunnerError> {
