--- a/packages/instance/src/oddRecords.test.ts
+++ b/packages/instance/src/oddRecords.test.ts
@@ -85,3 +85,24 @@
   t.true(await deployment.runUntilCompleted(10_000));
   t.deepEqual(deployment.resignations, []);
 });
+
+// The end of a run is acknowledged while its job is held, and is not known when the job is loaded.
+test.serial('a run that ends while its job is held is not started again', async (t) => {
+  using deployment = new VirtualDeployment({ runners: 2, durationMs: 2_000 });
+  deployment.submit(odd, [{}]);
+  deployment.takeOver();
+  await deployment.run(1_000);
+  const key = StoreKeys.progress(odd);
+  const read = deployment.store.read(key);
+  await deployment.run(10);
+  const stored = (await read)._unsafeUnwrap()?.value ?? '';
+  deployment.endTerm();
+  deployment.store.put(key, 'no JSON');
+  await deployment.run(2_000);
+  deployment.takeOver();
+  await deployment.run(1_000);
+  deployment.store.put(key, stored);
+  t.true(await deployment.runUntilCompleted(10_000));
+  const done = deployment.pool.records.filter(({ end }) => end === 'done');
+  t.is(done.length, 1, 'the run was done once');
+});
