The end of a run whose job cannot be read yet is not acknowledged

A task could be done twice: while the progress of a job could not be read, the holder took the ends of its runs for those of unknown tasks and acknowledged them. Once the progress was readable again, the run was missing from the reports and was started again.

Change: such an end is held back and with it the acknowledgement, until the job is loaded, by this holder or a successor. Ends after it are processed and remembered, so that they are not processed twice.

--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -128,6 +128,9 @@
 export class DispatchState {
   public readonly jobs = new Map<string, JobRun>();
 
+  /** Ids of jobs that are stored and cannot be read yet. */
+  public heldJobs: { has(id: string): boolean } = new Set<string>();
+
   /** Jobs that have not ended. */
   public readonly openJobs = new Set<JobRun>();
 
--- a/packages/dispatch/src/ReportHandler.ts
+++ b/packages/dispatch/src/ReportHandler.ts
@@ -74,7 +74,7 @@
     runner.unansweredCalls = 0;
     runner.reportedAt = now;
     runner.reportRequestedAt = Math.max(runner.reportRequestedAt, report.requestedAt);
-    report.ended.forEach((ended) => this.applyEnd(runner, ended, now));
+    this.applyEnds(runner, report.ended, now);
     const listedKeys = new Set<string>();
     report.running.forEach((running) => {
       listedKeys.add(occupantKey(running.task, running.run));
@@ -133,6 +133,8 @@
     runner.isFenced = false;
     runner.isEntryOutdated = true;
     runner.processedEndNumber = 0;
+    runner.laterEnds.clear();
+    runner.hasHeldEnds = false;
     runner.speed.reset();
     runner.occupants.forEach(({ member }) => member.history.recordRestart());
     runner.strays.forEach(({ history }) => history.recordRestart());
@@ -154,11 +156,29 @@
     });
   }
 
+  // The end of a job that cannot be read yet stays listed, and with it those after it, until it can be.
+  private applyEnds(runner: Runner, ended: readonly EndedTask[], now: number): void {
+    runner.hasHeldEnds = false;
+    ended
+      .filter(({ number }) => number > runner.processedEndNumber)
+      .sort((left, right) => left.number - right.number)
+      .forEach((each) => {
+        if (this.state.heldJobs.has(jobIdOf(each.task))) {
+          runner.hasHeldEnds = true;
+          return;
+        }
+        if (!runner.laterEnds.delete(each.number)) {
+          this.applyEnd(runner, each, now);
+        }
+        if (runner.hasHeldEnds) {
+          runner.laterEnds.add(each.number);
+        } else {
+          runner.processedEndNumber = each.number;
+        }
+      });
+  }
+
   private applyEnd(runner: Runner, ended: EndedTask, now: number): void {
-    if (ended.number <= runner.processedEndNumber) {
-      return;
-    }
-    runner.processedEndNumber = ended.number;
     const key = occupantKey(ended.task, ended.run);
     const isStray = runner.strays.get(key)?.isRunning === true;
     runner.removeStray(key);
@@ -183,8 +203,8 @@
   }
 
   private findGroup(task: string): TaskGroup | undefined {
-    const [jobId = '', occurrence = '', stepIndex = '', index = ''] = task.split('.');
-    const groups = this.state.jobs.get(jobId)?.groups;
+    const [, occurrence = '', stepIndex = '', index = ''] = task.split('.');
+    const groups = this.state.jobs.get(jobIdOf(task))?.groups;
     return (
       groups?.get(`${occurrence}.${stepIndex}.${index}`) ??
       groups?.get(`${occurrence}.${stepIndex}.${firstMemberIndex}`)
@@ -258,6 +278,10 @@
   }
 }
 
+function jobIdOf(task: string): string {
+  return task.slice(0, task.indexOf('.'));
+}
+
 function removeVanishedStrays(
   runner: Runner,
   { requestedAt, hasMoreEnds }: RunnerReport,
--- a/packages/dispatch/src/Runner.ts
+++ b/packages/dispatch/src/Runner.ts
@@ -58,6 +58,12 @@
   /** Sequence number of the last processed end of a run. */
   public processedEndNumber = 0;
 
+  /** Sequence numbers of ends that were processed beyond one that is held back. */
+  public readonly laterEnds = new Set<number>();
+
+  /** Whether the last report had ends of jobs that are not known yet; they must not be acknowledged. */
+  public hasHeldEnds = false;
+
   /** Monotonic time before which no task is started there. */
   public quarantinedUntil = 0;
 
--- a/packages/instance/src/RunnerLink.ts
+++ b/packages/instance/src/RunnerLink.ts
@@ -23,6 +23,8 @@
  * they are acknowledged, the runner responds immediately and lists them again.
  */
 const maxStoreWaitMs = 500;
+/** Milliseconds between calls while a runner lists ends of jobs that cannot be read. */
+const heldEndsRetryMs = 500;
 /** Timeout of the response in milliseconds, in addition to the wait. */
 const responseTimeoutMs = 600;
 /**
@@ -170,8 +172,11 @@
       await this.waitForWake();
       return;
     }
+    // Until they are acknowledged, the runner responds at once.
     if (this.hasUnstoredEnds && this.wasLastCallConfirmed) {
       await this.waitForWake(maxStoreWaitMs);
+    } else if (this.runner.hasHeldEnds && this.wasLastCallConfirmed) {
+      await delay(heldEndsRetryMs);
     }
     await this.requestReport();
   }
--- a/packages/instance/src/StoredJobLoader.ts
+++ b/packages/instance/src/StoredJobLoader.ts
@@ -35,6 +35,7 @@
     isNeeded: () => boolean,
   ) {
     this.held = new HeldJobs(store, clock, isNeeded, (id, records) => this.loadHeld(id, records));
+    dispatcher.state.heldJobs = this.held;
   }
 
   /** Loads all stored jobs and progress records at a takeover. */
