--- a/packages/soak/src/oddRecords.ts
+++ b/packages/soak/src/oddRecords.ts
@@ -29,17 +29,28 @@
   {},
 ];
 
-/** A text that is no record, or the sound one with an odd value in one of its fields. */
-function drawOdd(random: Random, sound: string | undefined): string {
-  const isChanged = sound !== undefined && random.fraction() < 0.6;
-  if (!isChanged) {
+/** A text that is no record, or the present one with an odd value in one of its fields. */
+function drawOdd(random: Random, present: string | undefined): string {
+  const isChanged = present !== undefined && random.fraction() < 0.6;
+  const record = isChanged ? parseRecord(present) : undefined;
+  if (record === undefined) {
     return random.pick(oddTexts);
   }
-  const record = JSON.parse(sound) as Record<string, unknown>;
   const field = random.pick(Object.keys(record));
   return JSON.stringify({ ...record, [field]: random.pick(oddValues) });
 }
 
+/** Fields of a record; undefined if an odd value is there already. */
+function parseRecord(text: string): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    const isRecord = typeof value === 'object' && value !== null && Object.keys(value).length > 0;
+    return isRecord ? (value as Record<string, unknown>) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /**
  * Leaves an odd value under a key, and puts back what was there unless it was replaced meanwhile.
  *
