--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -13,7 +13,8 @@
 import { Runner } from './runner.mjs';
 import { listen, Store } from './store.mjs';
 
-export const Verdict = { held: 0, broken: 1, notRun: 2 };
+/** Exit codes of a case; others, such as that of an uncaught error, mean that it did not run. */
+export const Verdict = { held: 10, broken: 11, notRun: 12 };
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 const host = 'nony24.example';
@@ -43,6 +44,11 @@
   return Number(bound.split(':')[1]);
 }
 
+function writeSettings({ file, fields }) {
+  const lines = Object.entries(fields).map(([key, value]) => `${key}=${value}\n`);
+  writeFileSync(file, lines.join(''));
+}
+
 export async function waitUntil(what, isTrue, limitMs = startLimitMs) {
   const deadline = performance.now() + limitMs;
   while (!(await isTrue())) {
@@ -132,7 +138,12 @@
 
   async addRunner(options) {
     const runner = new Runner(
-      { heartbeatMs: 1500, maxHoldMs: this.bounds.maxHoldMs, ...options },
+      {
+        heartbeatMs: 1500,
+        maxHoldMs: this.bounds.maxHoldMs,
+        gangTimeoutMs: this.bounds.gangTimeoutMs,
+        ...options,
+      },
       this.store,
       (text) => this.record(text),
     );
@@ -197,13 +208,8 @@
       ...settings,
     };
     const file = path.join(this.directory, `${name}.conf`);
-    writeFileSync(
-      file,
-      Object.entries(fields)
-        .map(([key, value]) => `${key}=${value}\n`)
-        .join(''),
-    );
-    const instance = { name, ip, front, ready, file };
+    const instance = { name, ip, front, ready, file, fields };
+    writeSettings(instance);
     this.instances.push(instance);
     this.launch(instance);
   }
@@ -229,6 +235,13 @@
     this.record(`${instance.name} started`);
   }
 
+  /** Changes the settings file of an instance, as the platform does. */
+  changeSettings(instance, changes) {
+    Object.assign(instance.fields, changes);
+    writeSettings(instance);
+    this.record(`settings of ${instance.name} change: ${JSON.stringify(changes)}`);
+  }
+
   /** The instance that holds the leadership according to the store. */
   get holder() {
     const record = this.store.get('holder');
@@ -352,6 +365,14 @@
     deployment.record('the case took too long');
     finish();
   }, caseLimitMs);
+  const abort = (reason) => {
+    verdict = Verdict.notRun;
+    deployment.record(`not run: ${reason}`);
+    finish();
+  };
+  process.once('uncaughtException', (error) => abort(error.stack));
+  process.once('SIGINT', () => abort('interrupted'));
+  process.once('SIGTERM', () => abort('terminated'));
   try {
     verdict = await play(deployment);
   } catch (error) {
--- a/review/stand-ins-2/runner.mjs
+++ b/review/stand-ins-2/runner.mjs
@@ -17,11 +17,32 @@
   return Math.min(fullPercent, Math.floor(share * fullPercent));
 }
 
+/** Members of gangs that have started, by step and run; shared by all runners. */
+const gangs = new Map();
+
+const gangOf = ({ task, run }) => `${task.slice(0, task.lastIndexOf('.'))}#${run}`;
+
+function joinGang(entry) {
+  if (entry.work.gang === undefined) {
+    entry.worksFrom = entry.startedAt;
+    return;
+  }
+  const members = [...(gangs.get(gangOf(entry)) ?? []), entry];
+  gangs.set(gangOf(entry), members);
+  if (members.length === entry.work.gang) {
+    members.forEach((member) => {
+      member.worksFrom = performance.now();
+    });
+  }
+}
+
 /**
  * A runner as PROTOCOL.md describes it: leases on its own clock, fencing tokens, numbered ends and
  * an admission check. A task's work stands in its specification: `ms` until it is done, or
  * `startupMs` until a task that lasts is at work; `cpu`, `memMb` and `gpus` are what it takes. A
- * stop takes `stopMs`. Where the page is silent, a start whose own deadline has passed is late.
+ * stop takes `stopMs`. A task of a `gang` of this many members works from the time at which all of
+ * them have started. `failsMs` is the time after which a first run ends `failed` by its own fault,
+ * in a gang that of each member. Where the page is silent, a start whose own deadline has passed is late.
  */
 export class Runner {
   constructor(options, store, record) {
@@ -94,7 +115,16 @@
     this.store.remove(`servers/${this.id}`);
   }
 
+  /** Cuts the runner off from all others, or ends that; it runs on. */
+  cut(isCut) {
+    this.isCut = isCut;
+    this.record(`${this.id} is ${isCut ? 'cut off' : 'reached again'}`);
+  }
+
   register() {
+    if (this.isCut) {
+      return;
+    }
     this.seq += 1;
     const { id, service, zone, kind, rack, capacity } = this.options;
     this.store.put(`servers/${id}`, {
@@ -135,6 +165,9 @@
       response.destroy();
       return;
     }
+    if (this.isCut) {
+      return;
+    }
     const respond = (status, content = {}) =>
       send(response, status, { ...content, clockMs: this.clockMs, born: this.born });
     if (request.headers['x-expect-instance'] !== this.id) {
@@ -165,7 +198,7 @@
     this.leaseUntil = Math.max(this.leaseUntil, Math.min(deadlineMs, latest));
   }
 
-  startRun({ task, run, spec, deadlineMs = 0 }, respond) {
+  startRun({ task, run, spec, deadlineMs = 0, ticket }, respond) {
     this.extend(deadlineMs);
     const key = `${task}#${run}`;
     if (this.running.has(key)) {
@@ -173,7 +206,8 @@
       return;
     }
     const work = JSON.parse(spec);
-    const refusal = this.findRefusal(task, run, work, deadlineMs);
+    const isAdmitted = this.options.advice?.admits(this.id, task, ticket) ?? true;
+    const refusal = isAdmitted ? this.findRefusal(task, run, work, deadlineMs) : 'ticket';
     if (refusal !== undefined) {
       this.record(`${this.id} rejects the start of ${task} run ${run}: ${refusal}`);
       respond(409, { reason: refusal });
@@ -183,9 +217,24 @@
     this.runs.push(entry);
     this.running.set(key, entry);
     this.record(`${this.id} starts ${task} run ${run}`);
+    joinGang(entry);
     respond(200);
   }
 
+  /** How a task ends now by itself; undefined if it goes on. */
+  findEnd({ run, work, startedAt, worksFrom = Infinity, isBroken, stopsAt = Infinity }) {
+    const now = performance.now();
+    const { gangTimeoutMs = Infinity } = this.options;
+    const ends = [
+      [stopsAt, 'stopped'],
+      [run === 1 ? worksFrom + (work.failsMs ?? Infinity) : Infinity, 'failed'],
+      [worksFrom + (work.ms ?? Infinity), 'done'],
+      [isBroken ? 0 : Infinity, 'broken'],
+      [worksFrom === Infinity ? startedAt + gangTimeoutMs : Infinity, 'alone'],
+    ];
+    return ends.find(([at]) => now >= at)?.[1];
+  }
+
   findRefusal(task, run, work, deadlineMs) {
     if (run <= (this.endedRuns.get(task) ?? 0)) {
       return 'old';
@@ -215,7 +264,7 @@
     const answer = () => {
       clearTimeout(answer.timer);
       this.waiters.delete(answer);
-      if (this.isUp) {
+      if (this.isUp && !this.isCut) {
         respond(200, this.lists);
       }
     };
@@ -238,15 +287,11 @@
   }
 
   checkTasks() {
-    const now = performance.now();
     const hasLapsed = this.clockMs > this.leaseUntil;
     [...this.running.values()].forEach((entry) => {
-      if (hasLapsed) {
-        this.end(entry, 'lapsed');
-      } else if (entry.stopsAt !== undefined && now >= entry.stopsAt) {
-        this.end(entry, 'stopped');
-      } else if (entry.work.ms !== undefined && now >= entry.startedAt + entry.work.ms) {
-        this.end(entry, 'done');
+      const how = hasLapsed ? 'lapsed' : this.findEnd(entry);
+      if (how !== undefined) {
+        this.end(entry, how);
       }
     });
   }
@@ -271,6 +316,12 @@
   close(entry, how) {
     entry.endedAt = performance.now();
     entry.how = how;
+    const members = gangs.get(gangOf(entry)) ?? [];
+    members
+      .filter((member) => how !== 'done' && member.endedAt === 0)
+      .forEach((member) => {
+        member.isBroken = true;
+      });
     this.record(`${this.id} ends ${entry.task} run ${entry.run}: ${how}`);
   }
 
