Review case 10: a gang that fails once is shown as failed after a takeover

Both members end failed in the first of two attempts; one end is heard by the holder, the other, from a runner that was cut off for 3 s, by its successor after SIGTERM, and counts as another attempt.

--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -9,79 +9,62 @@
   waitUntil,
 } from '../stand-ins-2/deployment.mjs';
 
-/** Spans of the rule: after the last run, and without a run. */
-const afterLastRunMs = 6_000;
-const idleMs = 3_000;
-const watchedMs = 30_000;
-const lastingId = '00000000000000e1';
-const bulkId = '00000000000000e2';
-const urgentId = '00000000000000e3';
+/** How long one runner is cut off, and times after the start of the gang. */
+const cutMs = 3_000;
+const cutAfterMs = 500;
+const failsMs = 2_000;
+const stopAfterMs = 2_300;
+const maxAttempts = 2;
+const watchedMs = 20_000;
+const jobId = '00000000000000ad';
 
-const runners = Array.from({ length: 4 }, (_, index) => ({
+const runners = Array.from({ length: 8 }, (_, index) => ({
   id: `w${index}`,
   service: 'lohnaabi',
   zone: `zone-${index % 2}`,
   kind: 'a',
-  rack: `r${index % 2}-1`,
+  rack: `r${1 + Math.floor(index / 4)}`,
   capacity: { cpu: 32_000, memMb: 131_072, gpus: 8 },
   stopMs: 300,
 }));
 
 const config = createConfig({
-  routes: [
-    { name: 'triage', prefix: '/triage/', priority: 0 },
-    { name: 'match', prefix: '/match/', priority: 2 },
-  ],
-  tenants: [
-    { name: 'anna', apiKeys: ['key-anna'], guaranteed: { gpus: 8 } },
-    { name: 'bert', apiKeys: ['key-bert'] },
-  ],
+  routes: [{ name: 'triage', prefix: '/triage/', priority: 0, maxAttempts }],
+  tenants: [{ name: 'anna', apiKeys: ['key-anna'] }],
 });
 
-const lasting = { count: 1, cpu: 1_000, memMb: 2_000, estimateMs: 5_000, persistent: true };
-const bulk = { count: 32, cpu: 1_000, memMb: 2_000, gpus: 1, estimateMs: 60_000 };
-const urgent = { count: 1, cpu: 1_000, memMb: 2_000, gpus: 2, estimateMs: 60_000 };
+const phase = { count: 2, cpu: 3_700, memMb: 15_000, gpus: 8, estimateMs: 4_000, gang: true };
 
 await runCase(import.meta.url, async (deployment) => {
   await deployment.start({ instances: 3, runners, config });
-  const [first, second] = deployment.instances;
-  const submit = async (prefix, id, key, work, phase) => {
-    const reply = await deployment.submit(first, prefix, id, key, work, phase);
-    const isStarted = () => deployment.runsOf(`${id}.0.0.${phase.count - 1}`).length > 0;
-    await waitUntil(`tasks of ${id} run`, () => reply.status === 200 && isStarted());
-  };
-  await submit('/match/', lastingId, 'key-bert', { startupMs: 500 }, lasting);
-  await submit('/match/', bulkId, 'key-bert', { ms: 90_000 }, bulk);
-  await delay(2_000);
+  const { holder } = deployment;
+  const [first, second] = deployment.instances.filter((instance) => instance !== holder);
+  const work = { ms: 4_000, failsMs, gang: phase.count };
+  const reply = await deployment.submit(first, '/triage/', jobId, 'key-anna', work, phase);
+  const runs = () => deployment.runsOf(`${jobId}.0.0.1`);
+  await waitUntil('the gang runs', () => reply.status === 200 && runs().length > 0);
   if (hasTrouble) {
-    // It needs accelerators, and two tasks of the other job are stopped for it.
-    await submit('/triage/', urgentId, 'key-anna', { ms: 60_000 }, urgent);
+    const { startedAt, runner: id } = runs()[0];
+    const after = (ms) => delay(startedAt + ms - performance.now());
+    const runner = deployment.runners.find((each) => each.id === id);
+    await after(cutAfterMs);
+    runner.cut(true);
+    await after(stopAfterMs);
+    holder.child.kill('SIGTERM');
+    deployment.record(`SIGTERM to ${holder.name}, the holder`);
+    await after(cutAfterMs + cutMs);
+    runner.cut(false);
   }
-  await delay(1_000);
-  const task = `${lastingId}.0.0.0`;
-  const [firstRun] = deployment.runsOf(task);
-  deployment.runners.find(({ id }) => id === firstRun.runner).fail(task);
-  const { endedAt } = firstRun;
-  const hasRoom = () =>
-    deployment.runners.some(
-      ({ used }) => 32_000 - used.cpu >= 2 * lasting.cpu && 131_072 - used.memMb >= 4_000,
-    );
-  let isRoomSeen = true;
-  while (deployment.runsOf(task).length < 2 && performance.now() < endedAt + watchedMs) {
-    isRoomSeen &&= hasRoom();
-    await delay(20);
+  const finalStates = ['completed', 'failed', 'cancelled'];
+  let state;
+  while (!finalStates.includes(state) && deployment.nowMs < reply.answeredAt + watchedMs) {
+    await delay(500);
+    const answer = await deployment.call(second, 'GET', `/triage/${jobId}`, 'key-anna');
+    state = answer.body.state;
   }
-  const [, nextRun] = deployment.runsOf(task);
-  const idle = Math.round((nextRun?.startedAt ?? performance.now()) - endedAt);
-  await deployment.call(second, 'GET', `/match/${lastingId}`, 'key-bert');
-  const use = deployment.runners.map(
-    ({ id, used: { cpu, gpus } }) => `${id} ${cpu} of 32000 cpu and ${gpus} of 8 gpus`,
-  );
+  const failed = runs().filter(({ how }) => how === 'failed').length;
   deployment.record(
-    `${task}: ${nextRun ? 'started again' : 'not started again'} after ${idle} ms; in use: ${use.join(', ')}`,
+    `job shown as ${state}; the gang was started ${runs().length} times and ended failed in ${failed}`,
   );
-  if (idle <= afterLastRunMs + idleMs) {
-    return Verdict.held;
-  }
-  return isRoomSeen ? Verdict.broken : Verdict.notRun;
+  return state === 'failed' && failed < maxAttempts ? Verdict.broken : Verdict.held;
 });
