--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -9,7 +9,6 @@
 import { clearTimeout, setTimeout } from 'node:timers';
 import { fileURLToPath, URL } from 'node:url';
 
-import { Machines } from './machines.mjs';
 import { Runner } from './runner.mjs';
 import { listen, Store } from './store.mjs';
 
@@ -126,9 +125,8 @@
     for (const options of runners) {
       await this.addRunner(options);
     }
-    const cloud = await this.addMachines(runners);
     for (let index = 0; index < instances; index += 1) {
-      await this.addInstance(index, { ...cloud, ...settings });
+      await this.addInstance(index, settings);
     }
     await waitUntil('an instance schedules', () => this.store.items.has('holder'));
     await Promise.all(this.instances.map((instance) => waitUntilReady(instance)));
@@ -152,24 +150,6 @@
     return runner;
   }
 
-  /** Adds the interface of the machines if the runners name theirs; returns its settings. */
-  async addMachines(runners) {
-    if (runners.every(({ machine }) => machine === undefined)) {
-      return {};
-    }
-    const createRunner = (machine, life) => {
-      const options = runners.find((each) => each.machine === machine);
-      return this.addRunner({ ...options, id: `${options.id}-${life}` });
-    };
-    const maintenanceMs = this.bounds.maintenanceS * 1_000;
-    this.machines = new Machines(this.store, { maintenanceMs, createRunner }, (text) =>
-      this.record(text),
-    );
-    this.runners.forEach((runner) => this.machines.add(runner.options.machine, runner));
-    const address = await this.machines.listen(`${this.subnet}.3`);
-    return { 'cloud.address': address, 'cloud.ratePerS': 60, 'cloud.dutyPerS': 60 };
-  }
-
   async addInstance(index, settings) {
     const ip = `${this.subnet}.${10 + index}`;
     const name = `front-${index}`;
@@ -315,7 +295,6 @@
   close() {
     this.killAll();
     this.runners.forEach((runner) => runner.stop());
-    this.machines?.close();
     this.store.close();
   }
 }
