--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -62,9 +62,13 @@
     const answer = await deployment.call(second, 'GET', `/triage/${jobId}`, 'key-anna');
     state = answer.body.state;
   }
-  const failed = runs().filter(({ how }) => how === 'failed').length;
+  const failures = [0, 1].map(
+    (index) =>
+      deployment.runsOf(`${jobId}.0.0.${index}`).filter(({ how }) => how === 'failed').length,
+  );
+  const failed = Math.max(...failures);
   deployment.record(
-    `job shown as ${state}; the gang was started ${runs().length} times and ended failed in ${failed}`,
+    `job shown as ${state}; the gang was started ${runs().length} times, and no task failed more than ${failed} times`,
   );
   return state === 'failed' && failed < maxAttempts ? Verdict.broken : Verdict.held;
 });
