--- a/review/stand-ins-3/Deployment.mjs
+++ b/review/stand-ins-3/Deployment.mjs
@@ -195,7 +195,8 @@
 
   constructor(record, routes, tenants) {
     Object.assign(this, { record, routes, tenants });
-    this.subnet = 1 + (process.pid % 250);
+    // Loopback addresses of its own, beside scripts that run at the same time.
+    this.subnet = `127.${1 + (Math.floor(process.pid / 250) % 250)}.${1 + (process.pid % 250)}`;
     process.once('exit', () => this.instances.forEach((instance) => instance.signal('SIGKILL')));
     ['SIGINT', 'SIGTERM'].forEach((name) => process.once(name, () => process.exit(2)));
   }
@@ -267,7 +268,7 @@
   }
 
   createInstance(index, storeAddress) {
-    const address = `127.${this.subnet}.3.${index + 1}`;
+    const address = `${this.subnet}.${index + 1}`;
     const name = `front-${index}`;
     const lines = [
       `node=${name}`,
