Review: checks that give every excuse, free addresses, an end in time

A script looks for free ports, ends within 115 s and removes its folder in any case, and its record has the answers and the calls that runners got.

--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -19,7 +19,7 @@
 /** Longest time for which nothing of the job may run. */
 const idleMs = 3_000;
 /** Time after the cut by which the tasks that last have to run again. */
-const lastingMs = 10_000;
+const lastingMs = 12_000;
 const lastingJob = '6d1f8b32ea5c4709';
 const job = '5c0e7a21d94b36f8';
 
@@ -72,7 +72,7 @@
       await delay(100);
     }
     const endedAt = Date.now();
-    // 4 s and 3 s of calm after the cut, and 9 s after the last run.
+    // contactMs after the cut, 4 s and 3 s of calm, and 9 s after the last run.
     await delay(Math.max(0, backAt + lastingMs + 500 - Date.now()));
     const used = deployment.runners.map(({ tasks }) => tasks.length).join(' ');
     record.write(`tasks on the runners at the end: ${used}`);
@@ -100,7 +100,7 @@
           'of it on two sound runners',
       ),
       ...idleLasting.map(
-        (index) => `LOST: ${lastingJob}.0.0.${index} lasts and does not run 10 s after the cut`,
+        (index) => `LOST: ${lastingJob}.0.0.${index} lasts and does not run 12 s after the cut`,
       ),
     ];
   } finally {
--- a/review/stand-ins-3/Deployment.mjs
+++ b/review/stand-ins-3/Deployment.mjs
@@ -3,20 +3,13 @@
  * with the project's fake store and fake runners, on loopback addresses.
  */
 import { spawn } from 'node:child_process';
-import {
-  appendFileSync,
-  closeSync,
-  mkdtempSync,
-  openSync,
-  rmSync,
-  statSync,
-  writeFileSync,
-} from 'node:fs';
+import { appendFileSync, closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
-import { clearInterval, setInterval } from 'node:timers';
+import { clearInterval, setInterval, setTimeout } from 'node:timers';
 import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
 
@@ -26,8 +19,13 @@
 const { GangCoordinator } = await import(path.join(testing, 'GangCoordinator.js'));
 const clientPort = 8_521;
 const readyPort = 8_523;
+const feedPort = 7_000;
+const metricsPort = 9_464;
+const ports = [clientPort, readyPort, feedPort, metricsPort];
 const heartbeatMs = 1_500;
 const startTimeoutMs = 20_000;
+/** Time after which a case ends whatever it does. */
+const longestMs = 115_000;
 
 export const host = 'queue.example';
 export const prefix = '/queue/';
@@ -85,6 +83,29 @@
   }
 }
 
+function isFree(address, port) {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, address, () => server.close(() => resolve(true)));
+  });
+}
+
+/** Three octets of loopback addresses on which the ports of all instances are free. */
+async function findFreeSubnet(instanceCount) {
+  for (let offset = 0; offset < 100; offset += 1) {
+    const number = process.pid + offset;
+    const subnet = `127.${1 + (Math.floor(number / 250) % 250)}.${1 + (number % 250)}`;
+    const wanted = Array.from({ length: instanceCount }, (_, index) =>
+      ports.map((port) => isFree(`${subnet}.${index + 1}`, port)),
+    );
+    if ((await Promise.all(wanted.flat())).every(Boolean)) {
+      return subnet;
+    }
+  }
+  throw new Error('no free addresses');
+}
+
 /** One instance of the deploy file, in a process of its own. */
 class Instance {
   child = undefined;
@@ -130,6 +151,9 @@
   }
 }
 
+/** Number of answers by method and status. */
+const answers = new Map();
+
 /** Sends one request; the status is 0 if the connection ended without an answer. */
 export function call(
   instance,
@@ -146,6 +170,8 @@
       } catch {
         answer.status = 0;
       }
+      const kind = `${method} ${answer.status}`;
+      answers.set(kind, (answers.get(kind) ?? 0) + 1);
       resolve(answer);
     };
     const outgoing = request(
@@ -191,13 +217,12 @@
 
   version = 1;
 
-  draining = new Set();
-
   constructor(record, routes, tenants) {
     Object.assign(this, { record, routes, tenants });
-    // Loopback addresses of its own, beside scripts that run at the same time.
-    this.subnet = `127.${1 + (Math.floor(process.pid / 250) % 250)}.${1 + (process.pid % 250)}`;
-    process.once('exit', () => this.instances.forEach((instance) => instance.signal('SIGKILL')));
+    process.once('exit', () => {
+      this.instances.forEach((instance) => instance.signal('SIGKILL'));
+      rmSync(this.directory, { recursive: true, force: true });
+    });
     ['SIGINT', 'SIGTERM'].forEach((name) => process.once(name, () => process.exit(2)));
   }
 
@@ -221,6 +246,7 @@
    */
   async start(instanceCount, racks, { services = [], countsTasks = true } = {}) {
     const address = await this.store.listen();
+    this.subnet = await findFreeSubnet(instanceCount);
     this.configure();
     for (const [index, rack] of racks.entries()) {
       const runner = new FakeRunner({
@@ -241,12 +267,8 @@
       runner.register(this.store, 'ready');
       this.runners.push(runner);
     }
-    // A runner that has left does not write its entry.
     this.heartbeats = setInterval(
-      () =>
-        this.runners
-          .filter((runner) => !this.draining.has(runner))
-          .forEach((runner) => runner.register(this.store, 'ready')),
+      () => this.runners.forEach((runner) => runner.register(this.store, 'ready')),
       heartbeatMs,
     );
     for (let index = 0; index < instanceCount; index += 1) {
@@ -282,7 +304,7 @@
       'zones.zone-1=region',
       `listen.front=${address}:${clientPort}`,
       `listen.ready=${address}:${readyPort}`,
-      'internalPorts=7000,7015',
+      `internalPorts=${feedPort},${feedPort + 15}`,
       'bootstrap=true',
       'limits.cpuShare=0.675',
       'limits.cores=2',
@@ -312,18 +334,13 @@
     return this.instances.find(({ name }) => record.includes(`"${name}"`));
   }
 
-  /** Lets a runner drain; it leaves a little later than it has announced. */
-  async drain(runner, id) {
-    this.draining.add(runner);
-    runner.register(this.store, 'draining');
-    const key = `servers/${id}`;
-    this.store.put(key, { ...JSON.parse(this.store.get(key)), remainingMs: bounds.drainMs });
-    await delay(bounds.drainMs + 500);
-    runner.leave(this.store);
-  }
-
-  /** Lists the runs that the runners have seen. */
+  /** Lists the answers to clients, and the calls and runs that the runners have seen. */
   writeRuns() {
+    answers.forEach((count, kind) => this.record.write(`answers ${kind} (0: none): ${count}`));
+    this.runners
+      .flatMap(({ trace }) => trace)
+      .sort()
+      .forEach((line) => this.record.write(`call ${line}`));
     const at = (time) => (time === 0 ? '-' : ((time - this.record.startedAt) / 1_000).toFixed(3));
     this.observedRuns.forEach(({ task, run, runner, startedAt, endedAt, outcome }) =>
       this.record.write(
@@ -343,21 +360,10 @@
     }
     await Promise.all(this.runners.map((runner) => runner[Symbol.asyncDispose]()));
     await this.store[Symbol.asyncDispose]();
-    if (process.env.KEEP_LOGS === undefined) {
-      rmSync(this.directory, { recursive: true, force: true });
-    } else {
-      this.instances.forEach(({ logFile }) =>
-        process.stderr.write(`${logFile}: ${statSync(logFile).size} bytes\n`),
-      );
-    }
+    rmSync(this.directory, { recursive: true, force: true });
   }
 }
 
-/** Ends the process and all connections of a runner; its entry stays in the store. */
-export function crash(runner) {
-  runner.leave({ remove: () => {} });
-}
-
 export function route(name, priority, maxAttempts, routePrefix = prefix, service = 'service') {
   return {
     name,
@@ -379,6 +385,10 @@
   const isTroubled = process.env.TROUBLE !== '0';
   record.write(`begins, ${isTroubled ? 'with' : 'without'} the disruption`);
   let code = 2;
+  setTimeout(() => {
+    record.write('could not run: not done in time');
+    process.exit(2);
+  }, longestMs).unref();
   try {
     const broken = await play(record, isTroubled);
     broken.forEach((line) => record.write(`BROKEN ${line}`));
